--- /dev/null
+++ b/cmd/eelgrassctl/console.go
@@ -0,0 +1,5 @@
+package main
+
+import "context"
+
+func (s *session) console(context.Context) int { return exitFailed }
--- /dev/null
+++ b/cmd/eelgrassctl/options.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/integrii/flaggy"
+)
+
+// Exit statuses of the contract.
+const (
+	exitDone    = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+// Defaults of the command line.
+const (
+	defaultWait   = 15 * time.Second
+	defaultEvents = 200
+	maxDistance   = 3
+)
+
+// options are the checked command line; the rest never sees flags.
+type options struct {
+	node     netip.AddrPort
+	output   string
+	verb     string
+	object   string
+	name     string
+	file     string
+	changeID string
+	revision uint64
+	force    bool
+	dryRun   bool
+	wait     bool
+	waitTime time.Duration
+	service  string
+	zone     string
+	request  string
+	events   int
+	follow   bool
+	listen   netip.AddrPort
+}
+
+// verb is one subcommand and what it needs.
+type verb struct {
+	name        string
+	description string
+	objects     []string
+	needsNode   bool
+	needsFile   bool
+	needsName   bool
+}
+
+var shells = []string{"bash", "zsh", "fish"}
+
+var kinds = []string{"region", "zone", "service", "route", "client", "budget"}
+
+var verbs = []verb{
+	{name: "apply", description: "commits the definitions of a file as one change", needsNode: true, needsFile: true},
+	{name: "remove", description: "commits the removal of one definition: remove KIND NAME", objects: kinds, needsNode: true, needsName: true},
+	{name: "get", description: "prints the configuration in force at the node", needsNode: true},
+	{name: "diff", description: "compares a file with the configuration in force", needsNode: true, needsFile: true},
+	{name: "validate", description: "checks a whole configuration file without a node", needsFile: true},
+	{name: "zone", description: "takes an availability zone out of service or in: zone out|in NAME", objects: []string{"out", "in"}, needsNode: true, needsName: true},
+	{name: "status", description: "prints zones, nodes and backend servers as the node sees them", needsNode: true},
+	{name: "rollout", description: "prints the revision in force at every node", needsNode: true},
+	{name: "timeline", description: "prints the events of all nodes in order", needsNode: true},
+	{name: "drain", description: "stops new work for the backend server beside the node", needsNode: true},
+	{name: "console", description: "serves a page with the live state and the time line", needsNode: true},
+	{name: "completion", description: "prints the completion script of a shell: completion bash|zsh|fish", objects: shells},
+}
+
+// parseOptions returns nil and an exit status if there is nothing to run.
+func parseOptions(arguments []string, errors io.Writer) (*options, int) {
+	o := &options{output: "text", waitTime: defaultWait, events: defaultEvents}
+	raw := rawOptions{listen: "127.0.0.1:7090"}
+	if mistake := misspelledVerb(arguments); mistake != "" {
+		return nil, usage(errors, mistake)
+	}
+	parser, subcommands := newParser(o, &raw)
+	if err := parser.ParseArgs(arguments); err != nil {
+		return nil, usage(errors, err.Error())
+	}
+	for i, subcommand := range subcommands {
+		if subcommand.Used {
+			o.verb = verbs[i].name
+			if mistake := o.check(verbs[i], raw); mistake != "" {
+				return nil, usage(errors, mistake)
+			}
+			return o, exitDone
+		}
+	}
+	return nil, usage(errors, "a verb is required: "+strings.Join(verbNames(), ", "))
+}
+
+// rawOptions are texts that check turns into types.
+type rawOptions struct{ node, listen string }
+
+func newParser(o *options, raw *rawOptions) (*flaggy.Parser, []*flaggy.Subcommand) {
+	parser := flaggy.NewParser("eelgrassctl")
+	parser.Description = "drives a load balancer through any of its nodes"
+	parser.String(&raw.node, "n", "node", "control address of a node, such as 127.0.0.1:7002")
+	parser.String(&o.output, "o", "output", "text or json")
+	subcommands := make([]*flaggy.Subcommand, len(verbs))
+	for i, v := range verbs {
+		subcommands[i] = newSubcommand(v, o, raw)
+		parser.AttachSubcommand(subcommands[i], 1)
+	}
+	return parser, subcommands
+}
+
+func newSubcommand(v verb, o *options, raw *rawOptions) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(v.name)
+	s.Description = v.description
+	if len(v.objects) > 0 {
+		s.AddPositionalValue(&o.object, "OBJECT", 1, false, strings.Join(v.objects, ", "))
+	}
+	if v.needsName {
+		s.AddPositionalValue(&o.name, "NAME", 2, false, "the name of what is changed")
+	}
+	if v.needsFile {
+		s.String(&o.file, "f", "file", "configuration file, in JSON")
+	}
+	switch v.name {
+	case "apply", "remove", "zone":
+		s.String(&o.changeID, "c", "change-id", "identifier of the change; asked again with it, the change is made once")
+		s.UInt64(&o.revision, "r", "expected-revision", "the only revision that the change may follow")
+		s.Bool(&o.force, "", "force", "take out even the last zone of a service")
+		s.Bool(&o.dryRun, "", "dry-run", "check the change at the node and commit nothing")
+		s.Bool(&o.wait, "w", "wait", "wait until the change is in force everywhere")
+		s.Duration(&o.waitTime, "", "wait-time", "how long to wait")
+	case "timeline":
+		s.String(&o.service, "s", "service", "only events of the service")
+		s.String(&o.zone, "z", "zone", "only events of the availability zone")
+		s.String(&o.request, "q", "request", "only events of the request identifier")
+		s.Int(&o.events, "m", "max", "number of events at most")
+		s.Bool(&o.follow, "", "follow", "go on printing new events")
+	case "console":
+		s.String(&raw.listen, "l", "listen", "loopback address of the page")
+	}
+	return s
+}
+
+// check completes the options of a verb and says what is wrong with them.
+func (o *options) check(v verb, raw rawOptions) string {
+	var err error
+	if v.needsNode {
+		if o.node, err = netip.ParseAddrPort(raw.node); err != nil {
+			return "--node ADDR:PORT is required: the ControlAddress of any node, such as 127.0.0.1:7002"
+		}
+	}
+	if o.listen, err = netip.ParseAddrPort(raw.listen); err != nil || !o.listen.Addr().IsLoopback() {
+		return "--listen must be a loopback address and port, such as 127.0.0.1:7090"
+	}
+	if o.output != "text" && o.output != "json" {
+		return fmt.Sprintf("--output: %q is neither text nor json", o.output)
+	}
+	if v.needsFile && o.file == "" {
+		return v.name + ": --file FILE is required"
+	}
+	if len(v.objects) > 0 && !slices.Contains(v.objects, o.object) {
+		return fmt.Sprintf("%s: %q is none of %s%s", v.name, o.object, strings.Join(v.objects, ", "), didYouMean(o.object, v.objects))
+	}
+	if v.needsName && o.name == "" {
+		return fmt.Sprintf("%s %s: a NAME is required", v.name, o.object)
+	}
+	return ""
+}
+
+// misspelledVerb looks at the first word that is no flag, before flaggy stops at it.
+func misspelledVerb(arguments []string) string {
+	for i := 0; i < len(arguments); i++ {
+		word := arguments[i]
+		if strings.HasPrefix(word, "-") {
+			if takesValue(word) {
+				i++
+			}
+			continue
+		}
+		if slices.Contains(verbNames(), word) {
+			return ""
+		}
+		return fmt.Sprintf("%q is no verb%s; the verbs are %s", word, didYouMean(word, verbNames()), strings.Join(verbNames(), ", "))
+	}
+	return ""
+}
+
+func takesValue(flag string) bool {
+	return slices.Contains([]string{"-n", "--node", "-o", "--output"}, flag)
+}
+
+func didYouMean(word string, known []string) string {
+	best, distance := "", maxDistance
+	for _, candidate := range known {
+		if d := levenshtein.ComputeDistance(word, candidate); d < distance {
+			best, distance = candidate, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (did you mean %q?)", best)
+}
+
+func verbNames() []string {
+	names := make([]string, len(verbs))
+	for i, v := range verbs {
+		names[i] = v.name
+	}
+	return names
+}
+
+func usage(errors io.Writer, mistake string) int {
+	fmt.Fprintf(errors, "eelgrassctl: %s\neelgrassctl --help tells more\n", mistake)
+	return exitUsage
+}
--- /dev/null
+++ b/cmd/eelgrassctl/session.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasspoint/protocol/schema"
+)
+
+// callTimeout bounds one call of the node; a commit may take as long as its read-back.
+const callTimeout = 20 * time.Second
+
+// session runs one verb.
+type session struct {
+	options *options
+	out     io.Writer
+	errors  io.Writer
+	client  schema.Operators
+	// connected tells that a call may have reached the node.
+	connected bool
+}
+
+func newSession(o *options, out, errors io.Writer) *session {
+	s := &session{options: o, out: out, errors: errors}
+	dialer := &net.Dialer{Timeout: 3 * time.Second}
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		s.connected = s.connected || err == nil
+		return conn, err
+	}}
+	s.client = schema.NewOperatorsProtobufClient("http://"+o.node.String(), &http.Client{Transport: transport, Timeout: callTimeout})
+	return s
+}
+
+func (s *session) run() int {
+	actions := map[string]func(context.Context) int{
+		"apply": s.apply, "remove": s.remove, "get": s.get, "diff": s.diff, "validate": s.validate,
+		"zone": s.zone, "status": s.status, "rollout": s.rollout, "timeline": s.timeline,
+		"drain": s.drain, "console": s.console, "completion": s.completion,
+	}
+	return actions[s.options.verb](context.Background())
+}
+
+func (s *session) json() bool { return s.options.output == "json" }
+
+// print writes a message as JSON.
+func (s *session) print(message proto.Message) int {
+	data, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitDefaultValues: true}.Marshal(message)
+	if err != nil {
+		return s.fail(err)
+	}
+	fmt.Fprintln(s.out, string(data))
+	return exitDone
+}
+
+// printValue writes a value of our own as JSON.
+func (s *session) printValue(value any) int {
+	encoder := json.NewEncoder(s.out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return s.fail(err)
+	}
+	return exitDone
+}
+
+// table writes rows in columns.
+func (s *session) table(rows [][]string) {
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for _, cell := range row {
+			fmt.Fprint(w, cell, "\t")
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush()
+}
+
+func (s *session) fail(err error) int {
+	fmt.Fprintln(s.errors, "eelgrassctl:", err)
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/eelgrassctl/show.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
+)
+
+// followInterval is the pause between two questions for new events.
+const followInterval = time.Second
+
+func (s *session) get(ctx context.Context) int {
+	response, err := s.client.Get(ctx, &schema.GetRequest{})
+	if err != nil {
+		return s.fail(err)
+	}
+	if s.json() {
+		return s.print(response)
+	}
+	fmt.Fprintf(s.out, "revision %d\n", response.GetRevision())
+	return s.print(response.GetConfiguration())
+}
+
+// diff lists what applying the file would change.
+func (s *session) diff(ctx context.Context) int {
+	document, err := s.readFile()
+	if err != nil {
+		return s.reportMistakes(s.options.file, eelgrasspoint.Mistakes(err))
+	}
+	response, err := s.client.Get(ctx, &schema.GetRequest{})
+	if err != nil {
+		return s.fail(err)
+	}
+	lines := compare(response.GetConfiguration(), translator.DocumentMessage(document))
+	if s.json() {
+		s.printValue(struct{ Differences []string }{lines})
+	} else {
+		s.say("%s", strings.Join(append(lines, fmt.Sprintf("%d differences", len(lines))), "\n"))
+	}
+	if len(lines) > 0 {
+		return exitFailed
+	}
+	return exitDone
+}
+
+// named is what all definitions have.
+type named interface {
+	proto.Message
+	GetName() string
+}
+
+// compare returns a line for each definition of the file that is new or changed.
+func compare(inForce, file *schema.Document) []string {
+	var lines []string
+	lines = append(lines, compareList("Regions", inForce.GetRegions(), file.GetRegions())...)
+	lines = append(lines, compareList("AvailabilityZones", inForce.GetAvailabilityZones(), file.GetAvailabilityZones())...)
+	lines = append(lines, compareList("Services", inForce.GetServices(), file.GetServices())...)
+	lines = append(lines, compareList("Routes", inForce.GetRoutes(), file.GetRoutes())...)
+	lines = append(lines, compareList("Clients", inForce.GetClients(), file.GetClients())...)
+	return append(lines, compareList("Budgets", inForce.GetBudgets(), file.GetBudgets())...)
+}
+
+func compareList[T named](list string, inForce, file []T) []string {
+	var lines []string
+	for _, item := range file {
+		place := slices.IndexFunc(inForce, func(other T) bool { return other.GetName() == item.GetName() })
+		switch {
+		case place < 0:
+			lines = append(lines, fmt.Sprintf("+ %s[%s] %s", list, item.GetName(), compact(item)))
+		case !proto.Equal(inForce[place], item):
+			lines = append(lines, fmt.Sprintf("~ %s[%s] %s -> %s", list, item.GetName(), compact(inForce[place]), compact(item)))
+		}
+	}
+	return lines
+}
+
+func compact(message proto.Message) string {
+	data, _ := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
+	return string(data)
+}
+
+func (s *session) status(ctx context.Context) int {
+	response, err := s.client.Status(ctx, &schema.StatusRequest{})
+	if err != nil {
+		return s.fail(err)
+	}
+	if s.json() {
+		return s.print(response)
+	}
+	fmt.Fprintf(s.out, "node %s, revision %d\n\n", response.GetNode(), response.GetRevision())
+	s.table(zoneRows(response))
+	fmt.Fprintln(s.out)
+	s.table(nodeRows(response))
+	return exitDone
+}
+
+func zoneRows(response *schema.StatusResponse) [][]string {
+	rows := [][]string{{"ZONE", "REGION", "STATE"}}
+	for _, zone := range response.GetAvailabilityZones() {
+		state := "in service"
+		if zone.GetOutOfService() {
+			state = "out of service"
+		}
+		rows = append(rows, []string{zone.GetName(), zone.GetRegion(), state})
+	}
+	return rows
+}
+
+func nodeRows(response *schema.StatusResponse) [][]string {
+	rows := [][]string{{"NODE", "ZONE", "STATE", "SERVICE", "BACKEND SERVER", "SLOTS", "IN USE", "LIMIT", "QUEUED"}}
+	for _, node := range response.GetNodes() {
+		rows = append(rows, nodeRow(node))
+	}
+	return rows
+}
+
+func nodeRow(node *schema.NodeStatus) []string {
+	m := node.GetMember()
+	row := []string{m.GetName(), m.GetAvailabilityZone(), nodeState(node), "-", "-", "-", "-", "-", "-"}
+	if b := m.GetBackendServer(); b != nil {
+		row[3], row[4], row[5] = b.GetService(), b.GetAddress(), strconv.Itoa(int(b.GetSlots()))
+	}
+	if load := node.GetLoad(); load != nil {
+		row[6], row[7], row[8] = strconv.Itoa(int(load.GetInUse())), strconv.Itoa(int(load.GetLimit())), strconv.Itoa(int(load.GetQueued()))
+	}
+	return row
+}
+
+func nodeState(node *schema.NodeStatus) string {
+	m := node.GetMember()
+	switch {
+	case m.GetLeft():
+		return "left"
+	case m.GetFailed():
+		return "failed"
+	case m.GetBackendServer().GetDraining():
+		return "draining"
+	case node.GetSuspect():
+		return "suspect"
+	default:
+		return "alive"
+	}
+}
+
+func (s *session) rollout(ctx context.Context) int {
+	response, err := s.client.Rollout(ctx, &schema.RolloutRequest{})
+	if err != nil {
+		return s.fail(err)
+	}
+	if s.json() {
+		return s.print(response)
+	}
+	rows := [][]string{{"NODE", "REVISION", "ERROR"}}
+	for _, node := range response.GetNodes() {
+		rows = append(rows, []string{node.GetNode(), strconv.FormatUint(node.GetRevision(), 10), node.GetError()})
+	}
+	s.table(rows)
+	return exitDone
+}
+
+func (s *session) timeline(ctx context.Context) int {
+	request := &schema.TimelineRequest{
+		Service: s.options.service, AvailabilityZone: s.options.zone, RequestId: s.options.request,
+		MaxEvents: uint32(s.options.events), Everywhere: true,
+	}
+	for {
+		response, err := s.client.Timeline(ctx, request)
+		if err != nil {
+			return s.fail(err)
+		}
+		s.printEvents(response)
+		if !s.options.follow {
+			return exitDone
+		}
+		if events := response.GetEvents(); len(events) > 0 {
+			request.AfterWall = events[len(events)-1].GetWall()
+		}
+		time.Sleep(followInterval)
+	}
+}
+
+func (s *session) printEvents(response *schema.TimelineResponse) {
+	if s.json() {
+		s.print(response)
+		return
+	}
+	for _, e := range response.GetEvents() {
+		at := time.Unix(0, int64(e.GetWall())).UTC().Format("15:04:05.000000")
+		fmt.Fprintln(s.out, strings.TrimRight(fmt.Sprintf("%s.%d %-22s %4d %-20s %s %s %s",
+			at, e.GetLogical(), e.GetNode(), e.GetNumber(), e.GetName(), e.GetService(), e.GetRequestId(), e.GetDetail()), " "))
+	}
+	if missing := response.GetUnreachable(); len(missing) > 0 {
+		fmt.Fprintf(s.errors, "not reached: %s\n", strings.Join(missing, ", "))
+	}
+}
+
+func (s *session) drain(ctx context.Context) int {
+	if _, err := s.client.Drain(ctx, &schema.DrainRequest{}); err != nil {
+		return s.fail(err)
+	}
+	s.say("draining")
+	return exitDone
+}
--- /dev/null
+++ b/cmd/eelgrassd/main.go
@@ -0,0 +1,91 @@
+// Command eelgrassd is the node that runs beside each backend server.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"eelgrasspoint"
+	"eelgrasspoint/runner"
+	"eelgrasspoint/state/loader"
+	"eelgrasspoint/state/memorizer"
+	"eelgrasspoint/state/tablecaller"
+)
+
+func main() {
+	options := parseOptions(os.Args[1:])
+	settings, err := loader.Load(options.settings)
+	if err != nil {
+		reportMistakes(options.settings, err)
+		os.Exit(exitFailed)
+	}
+	if options.checkOnly {
+		fmt.Printf("%s: correct\n", options.settings)
+		return
+	}
+	if err := run(settings); err != nil {
+		fmt.Fprintln(os.Stderr, "eelgrassd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(settings *loader.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node := runner.New(runner.Options{
+		Settings: settings,
+		Table:    platform(settings),
+		Dial:     (&net.Dialer{}).DialContext,
+		Listen:   net.Listen,
+		Log:      newLog(settings),
+		Clock:    time.Now,
+		Seed:     uint64(time.Now().UnixNano()),
+	})
+	return node.Run(ctx)
+}
+
+// platform returns the adapter of the platform, or one in memory if the settings name none.
+func platform(settings *loader.Settings) func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
+	return func(count func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
+		if !settings.Platform.IsValid() {
+			memory := memorizer.New()
+			return memory, memory
+		}
+		adapter := tablecaller.New(settings.Platform, &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}, count)
+		return adapter, adapter
+	}
+}
+
+func newLog(settings *loader.Settings) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{
+		TimestampFormat: time.RFC3339Nano,
+		FieldMap:        logrus.FieldMap{logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Detail"},
+	})
+	level, err := logrus.ParseLevel(settings.LogLevel)
+	if err == nil {
+		log.SetLevel(level)
+	}
+	return log.WithField("Node", settings.Name)
+}
+
+func reportMistakes(path string, err error) {
+	var invalid *eelgrasspoint.InvalidError
+	if !errors.As(err, &invalid) {
+		fmt.Fprintln(os.Stderr, "eelgrassd:", err)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "eelgrassd: %s has %d mistakes:\n", path, len(invalid.Mistakes))
+	for _, mistake := range invalid.Mistakes {
+		fmt.Fprintf(os.Stderr, "  %s: %s\n", mistake.Path, mistake.Message)
+	}
+}
--- /dev/null
+++ b/constants.go
@@ -0,0 +1,129 @@
+package eelgrasspoint
+
+import "time"
+
+// Header names of the contract with callers.
+const (
+	HeaderOutcome   = "Eelgrass-Outcome"
+	HeaderClient    = "Eelgrass-Client"
+	HeaderTimeout   = "Eelgrass-Timeout"
+	HeaderRequestID = "Eelgrass-Request-Id"
+	HeaderDepth     = "Eelgrass-Depth"
+)
+
+// Header names used between nodes only; they never reach a caller or a backend server.
+const (
+	HeaderReason      = "Eelgrass-Reason"
+	HeaderLoad        = "Eelgrass-Load"
+	HeaderRoute       = "Eelgrass-Route"
+	HeaderPermitted   = "Eelgrass-Permitted"
+	HeaderFingerprint = "Eelgrass-Fingerprint"
+	HeaderAttempt     = "Eelgrass-Attempt"
+	HeaderFrom        = "Eelgrass-From"
+	HeaderServedBy    = "Eelgrass-Served-By"
+)
+
+// Limits of one request.
+const (
+	MaxHeaderBytes       = 64 << 10
+	MaxReplayBytes       = 64 << 10
+	MaxReplayTotalBytes  = 8 << 20
+	MaxDepth             = 16
+	MaxRequestIDBytes    = 128
+	MaxAttempts          = 4
+	DefaultTimeLimit     = 10 * time.Second
+	MaxTimeLimit         = 10 * time.Minute
+	DefaultWeight        = 1
+	MinAttemptTime       = 2 * time.Millisecond
+	HedgeDelayFloor      = 10 * time.Millisecond
+	RefusalRetryAfter    = time.Second
+	RelayBufferBytes     = 32 << 10
+	RetryShare           = 0.1
+	RetryBurst           = 10
+	ServerFailurePenalty = time.Second
+)
+
+// Admission at the exit node.
+const (
+	ColdLimit            = 2
+	MinLimit             = 1
+	DefaultSlots         = 16
+	DefaultConnections   = 256
+	LimitWindow          = 100 * time.Millisecond
+	BaselineWindow       = 30 * time.Second
+	LatencyTolerance     = 2.0
+	ColdJump             = 8.0
+	ShrinkFactor         = 0.8
+	MaxQueueShare        = 2
+	MaxQueueWait         = 250 * time.Millisecond
+	SuspectRequestTime   = 10 * time.Minute
+	CrashSettleTime      = 2 * time.Second
+	MaxSuspectRequests   = 4096
+	ConnectTimeout       = time.Second
+	BackendFirstByteTime = 30 * time.Second
+)
+
+// Connections between nodes.
+const (
+	PeerPingAfter     = 700 * time.Millisecond
+	PeerPingTimeout   = 700 * time.Millisecond
+	PeerIdleTime      = 90 * time.Second
+	PeerHeaderTimeout = 10 * time.Second
+	PeerWindowBytes   = 256 << 10
+	PeerStreams       = 1000
+)
+
+// Membership between nodes.
+const (
+	HeartbeatInterval   = time.Second
+	HeartbeatTimeout    = 800 * time.Millisecond
+	HeartbeatFailures   = 2
+	ObservedPerNode     = 2
+	BridgesPerRegion    = 2
+	NewsRounds          = 4
+	MaxNewsPerMessage   = 32
+	ForgetAfter         = 10 * time.Minute
+	AnnouncementTTL     = 3 * time.Second
+	MinFailureWitnesses = 2
+	StoreRowInterval    = 5 * time.Minute
+	ScanInterval        = time.Minute
+	MaxSnapshotAge      = 3 * time.Second
+	StopNoticeTime      = 500 * time.Millisecond
+)
+
+// Configuration.
+const (
+	PollInterval        = 20 * time.Second
+	CommitTimeout       = 5 * time.Second
+	ReadBackTimeout     = 5 * time.Second
+	StoreTimeout        = 2 * time.Second
+	MaxChangeBytes      = 128 << 10
+	MaxChangesPerAnswer = 128
+	CompactAfter        = 256
+	RolloutTimeout      = 2 * time.Second
+)
+
+// Load hints and the cost of measuring.
+const (
+	HintHalfLife            = 200 * time.Millisecond
+	LatencySmoothing        = 0.2
+	ErrorHalfLife           = 2 * time.Second
+	ErrorPenalty            = 20.0
+	LatencyHalfLife         = 500 * time.Millisecond
+	OtherZonePenalty        = 2 * time.Millisecond
+	OtherRegionPenalty      = 40 * time.Millisecond
+	MeasuringBytesPerSecond = 3000
+	LinkBytesPerSecond      = 3 << 20
+)
+
+// Recorded events kept by one node.
+const (
+	MaxRecordedEvents = 4096
+	MaxEventsAnswered = 1000
+)
+
+// Names of budgets that operators can set.
+const (
+	BudgetMeasuring = "Measuring"
+	BudgetLink      = "Link"
+)
--- /dev/null
+++ b/coordination/admitter/admitter.go
@@ -0,0 +1,208 @@
+// Package admitter decides which requests a backend server may run now, which wait and
+// which are refused as not run.
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasspoint"
+)
+
+// Admitter is safe for concurrent use.
+type Admitter struct {
+	clock eelgrasspoint.Clock
+
+	mu      sync.Mutex
+	limiter eelgrasspoint.Limiter
+	inUse   int
+	queue   queue
+	service time.Duration
+	closed  eelgrasspoint.Reason
+}
+
+// New returns an admitter with an empty queue.
+func New(limiter eelgrasspoint.Limiter, clock eelgrasspoint.Clock) *Admitter {
+	return &Admitter{limiter: limiter, clock: clock}
+}
+
+// Admit returns when the request may run; the caller must call Release once after it ran.
+// The error is an *eelgrasspoint.OutcomeError with outcome NotRun.
+func (a *Admitter) Admit(ctx context.Context, meta *eelgrasspoint.Meta) error {
+	w, err := a.enter(meta)
+	if w == nil || err != nil {
+		return err
+	}
+	timer := time.NewTimer(a.waitLimit(meta))
+	defer timer.Stop()
+	select {
+	case reason := <-w.verdict:
+		return refusal(reason)
+	case <-timer.C:
+		return a.abandon(w, eelgrasspoint.Overloaded)
+	case <-ctx.Done():
+		return a.abandon(w, abandonReason(ctx))
+	}
+}
+
+// Release gives the slot back and learns from the run. It reports whether the backend
+// server turned cold.
+func (a *Admitter) Release(sample eelgrasspoint.Sample) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sample.InUse = a.inUse
+	a.inUse--
+	cold := a.limiter.Observe(sample)
+	if sample.Succeeded {
+		a.learnService(sample.Duration)
+	}
+	a.grant()
+	return cold
+}
+
+// Reset starts again for a new incarnation with the slots.
+func (a *Admitter) Reset(slots int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Reset(slots)
+	a.service = 0
+	a.grant()
+}
+
+// Close refuses everything that waits or comes, until Open.
+func (a *Admitter) Close(reason eelgrasspoint.Reason) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = reason
+	for a.queue.Len() > 0 {
+		a.queue.popBest().verdict <- reason
+	}
+}
+
+// Open takes requests again.
+func (a *Admitter) Open() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = eelgrasspoint.NoReason
+}
+
+// Load returns the present counts.
+func (a *Admitter) Load() eelgrasspoint.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return eelgrasspoint.Load{
+		InUse:  uint32(max(a.inUse, 0)),
+		Limit:  uint32(a.limiter.Limit()),
+		Queued: uint32(a.queue.Len()),
+	}
+}
+
+// enter takes a slot, or a place in the queue, or refuses.
+func (a *Admitter) enter(meta *eelgrasspoint.Meta) (*waiter, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed != eelgrasspoint.NoReason {
+		return nil, refusal(a.closed)
+	}
+	if a.queue.Len() == 0 && a.inUse < a.limiter.Limit() {
+		a.inUse++
+		return nil, nil
+	}
+	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, verdict: make(chan eelgrasspoint.Reason, 1)}
+	if !a.canFinish(w) {
+		return nil, refusal(eelgrasspoint.Overloaded)
+	}
+	if a.queue.Len() >= a.maxQueue() && !a.shedLighter(w) {
+		return nil, refusal(eelgrasspoint.Overloaded)
+	}
+	a.queue.push(w)
+	return w, nil
+}
+
+// shedLighter makes room by refusing the lightest waiter if it is lighter than w.
+func (a *Admitter) shedLighter(w *waiter) bool {
+	lightest := a.queue.lightest()
+	if lightest == nil || lightest.weight >= w.weight {
+		return false
+	}
+	a.queue.remove(lightest)
+	lightest.verdict <- eelgrasspoint.Overloaded
+	return true
+}
+
+// canFinish estimates whether the waiter would be answered in time behind those that go first.
+func (a *Admitter) canFinish(w *waiter) bool {
+	if a.service == 0 {
+		return true
+	}
+	limit := max(a.limiter.Limit(), 1)
+	ahead := a.queue.ahead(w) + 1
+	wait := a.service * time.Duration(ahead) / time.Duration(limit)
+	if wait > eelgrasspoint.MaxQueueWait {
+		return false
+	}
+	return w.deadline.IsZero() || !a.clock().Add(wait+a.service).After(w.deadline)
+}
+
+func (a *Admitter) maxQueue() int {
+	return max(1, a.limiter.Limit()*eelgrasspoint.MaxQueueShare)
+}
+
+// grant hands free slots to the waiters that go first, refusing those that are too late.
+func (a *Admitter) grant() {
+	now := a.clock()
+	for a.queue.Len() > 0 && a.inUse < a.limiter.Limit() {
+		w := a.queue.popBest()
+		if !w.deadline.IsZero() && now.Add(a.service/2).After(w.deadline) {
+			w.verdict <- eelgrasspoint.DeadlinePassed
+			continue
+		}
+		a.inUse++
+		w.verdict <- eelgrasspoint.NoReason
+	}
+}
+
+// abandon takes the waiter out of the queue, or gives back the slot that it was just granted.
+func (a *Admitter) abandon(w *waiter, reason eelgrasspoint.Reason) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.queue.remove(w) {
+		return refusal(reason)
+	}
+	if verdict := <-w.verdict; verdict != eelgrasspoint.NoReason {
+		return refusal(verdict)
+	}
+	a.inUse--
+	a.grant()
+	return refusal(reason)
+}
+
+func (a *Admitter) waitLimit(meta *eelgrasspoint.Meta) time.Duration {
+	if meta.Deadline.IsZero() {
+		return eelgrasspoint.MaxQueueWait
+	}
+	return min(eelgrasspoint.MaxQueueWait, eelgrasspoint.Remaining(meta.Deadline, a.clock()))
+}
+
+func (a *Admitter) learnService(d time.Duration) {
+	if a.service == 0 {
+		a.service = d
+		return
+	}
+	a.service += time.Duration(eelgrasspoint.LatencySmoothing * float64(d-a.service))
+}
+
+func refusal(reason eelgrasspoint.Reason) error {
+	if reason == eelgrasspoint.NoReason {
+		return nil
+	}
+	return eelgrasspoint.Refuse(reason, "")
+}
+
+func abandonReason(ctx context.Context) eelgrasspoint.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return eelgrasspoint.DeadlinePassed
+	}
+	return eelgrasspoint.Canceled
+}
--- /dev/null
+++ b/coordination/chooser/baselines.go
@@ -0,0 +1,69 @@
+package chooser
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"eelgrasspoint"
+)
+
+// The baselines know home regions, but neither load nor distance.
+
+type roundRobin struct{ next atomic.Uint64 }
+
+// NewRoundRobin returns a chooser that takes the candidates in turn.
+func NewRoundRobin() eelgrasspoint.Chooser { return &roundRobin{} }
+
+func (r *roundRobin) Choose(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, _ time.Time, _ *rand.Rand) *eelgrasspoint.Candidate {
+	list := allEligible(candidates, need)
+	if len(list) == 0 {
+		return nil
+	}
+	return list[int((r.next.Add(1)-1)%uint64(len(list)))]
+}
+
+type uniform struct{}
+
+// NewRandom returns a chooser that takes any candidate.
+func NewRandom() eelgrasspoint.Chooser { return uniform{} }
+
+func (uniform) Choose(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, _ time.Time, random *rand.Rand) *eelgrasspoint.Candidate {
+	list := allEligible(candidates, need)
+	if len(list) == 0 {
+		return nil
+	}
+	return list[random.IntN(len(list))]
+}
+
+type leastInFlight struct{}
+
+// NewLeastInFlight returns a chooser that takes the candidate with the fewest own requests.
+func NewLeastInFlight() eelgrasspoint.Chooser { return leastInFlight{} }
+
+func (leastInFlight) Choose(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, _ time.Time, random *rand.Rand) *eelgrasspoint.Candidate {
+	var best *eelgrasspoint.Candidate
+	ties := 0
+	for _, c := range allEligible(candidates, need) {
+		switch {
+		case best == nil || c.Gauge.InFlight() < best.Gauge.InFlight():
+			best, ties = c, 1
+		case c.Gauge.InFlight() == best.Gauge.InFlight():
+			ties++
+			if random.IntN(ties) == 0 {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+func allEligible(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need) []*eelgrasspoint.Candidate {
+	list := make([]*eelgrasspoint.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if eligible(c, need) && anyLawful(c, need, time.Time{}) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/coordination/controller/commands.go
@@ -0,0 +1,216 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/router"
+	"eelgrasspoint/state/merger"
+)
+
+// Announce is what the backend server beside the node said of itself, or nil if it left.
+type Announce struct{ Backend *eelgrasspoint.BackendServer }
+
+func (a Announce) apply(c *Controller) {
+	old := c.self.BackendServer
+	c.announcedAt = c.options.Clock()
+	if c.draining && a.Backend != nil {
+		drained := *a.Backend
+		drained.Draining = true
+		a.Backend = &drained
+	}
+	switch {
+	case a.Backend == nil && old == nil:
+		return
+	case a.Backend == nil:
+		c.record(eelgrasspoint.EventBackendLeft, old.Service, c.self.AvailabilityZone, old.Address.String())
+	case old == nil || *old != *a.Backend:
+		c.record(eelgrasspoint.EventBackendAnnounced, a.Backend.Service, c.self.AvailabilityZone, a.Backend.Address.String())
+	default:
+		return
+	}
+	c.setBackend(a.Backend)
+}
+
+// Learn is what another node or the table service says of members.
+type Learn struct{ Members []eelgrasspoint.Member }
+
+func (l Learn) apply(c *Controller) {
+	for _, m := range l.Members {
+		c.learn(m)
+	}
+}
+
+func (c *Controller) learn(m eelgrasspoint.Member) {
+	if m.Name == c.self.Name {
+		c.defend(m)
+		return
+	}
+	old, known := c.members[m.Name]
+	if known && !m.Supersedes(old) {
+		return
+	}
+	if !known && !m.Alive() {
+		return
+	}
+	c.members[m.Name] = m
+	if m.Alive() {
+		delete(c.deadSince, m.Name)
+	} else if _, dead := c.deadSince[m.Name]; !dead {
+		c.deadSince[m.Name] = c.options.Clock()
+	}
+	c.recordMember(old, known, m)
+	c.spread(m.Name)
+}
+
+// defend answers a claim about this node that is not so by a newer version.
+func (c *Controller) defend(claim eelgrasspoint.Member) {
+	if !claim.Supersedes(c.self) {
+		return
+	}
+	if claim.Incarnation > c.self.Incarnation {
+		c.self.Incarnation = claim.Incarnation
+	}
+	if claim.Version > c.self.Version {
+		c.self.Version = claim.Version
+	}
+	c.renewSelf()
+}
+
+func (c *Controller) recordMember(old eelgrasspoint.Member, known bool, m eelgrasspoint.Member) {
+	service := ""
+	if m.BackendServer != nil {
+		service = m.BackendServer.Service
+	}
+	switch {
+	case m.Left:
+		c.record(eelgrasspoint.EventMemberLeft, service, m.AvailabilityZone, m.Name)
+	case m.Failed:
+		c.record(eelgrasspoint.EventMemberFailed, service, m.AvailabilityZone, m.Name)
+	case !known:
+		c.record(eelgrasspoint.EventMemberJoined, service, m.AvailabilityZone, m.Name)
+	case !old.Alive():
+		c.record(eelgrasspoint.EventMemberReturned, service, m.AvailabilityZone, m.Name)
+	}
+}
+
+// Fail is the observers' claim that a member, as it was known, does not answer.
+type Fail struct{ Member eelgrasspoint.Member }
+
+func (f Fail) apply(c *Controller) {
+	claim := f.Member
+	claim.Failed = true
+	c.learn(claim)
+}
+
+// MoveBridges makes the node try other members of the other regions.
+type MoveBridges struct{}
+
+func (MoveBridges) apply(c *Controller) { c.bridgeOffset++ }
+
+// Adopt is a run of committed changes.
+type Adopt struct{ Changes []eelgrasspoint.Change }
+
+func (a Adopt) apply(c *Controller) {
+	for _, change := range a.Changes {
+		if change.Revision != c.configuration.Revision+1 {
+			continue
+		}
+		document := merger.Apply(&c.configuration.Document, &change.Put, &change.Remove)
+		c.remember(change)
+		c.setConfiguration(change.Revision, document)
+	}
+}
+
+// Replace is a whole configuration of a higher revision.
+type Replace struct{ Configuration eelgrasspoint.Configuration }
+
+func (r Replace) apply(c *Controller) {
+	if r.Configuration.Revision <= c.configuration.Revision {
+		return
+	}
+	c.history = nil
+	c.recentCount = 0
+	c.setConfiguration(r.Configuration.Revision, r.Configuration.Document)
+}
+
+// remember keeps the last changes for nodes that lack them.
+func (c *Controller) remember(change eelgrasspoint.Change) {
+	c.history = append(slices.Clone(c.history), change)
+	if over := len(c.history) - eelgrasspoint.MaxChangesPerAnswer; over > 0 {
+		c.history = c.history[over:]
+	}
+	c.recentCount = min(c.recentCount+1, len(c.history))
+}
+
+// Respread makes members news again, as for a node that lacks them.
+type Respread struct{ Names []string }
+
+func (r Respread) apply(c *Controller) {
+	for _, name := range r.Names {
+		if _, known := c.members[name]; known {
+			c.spread(name)
+		}
+	}
+}
+
+// setConfiguration puts a revision in force. It is called with higher revisions only.
+func (c *Controller) setConfiguration(revision uint64, document eelgrasspoint.Document) {
+	before := c.zonesOut()
+	c.configuration = &eelgrasspoint.Configuration{Revision: revision, Document: document}
+	c.router = router.New(&c.configuration.Document)
+	c.recentUntil = c.options.Clock().Add(eelgrasspoint.NewsRounds * eelgrasspoint.HeartbeatInterval)
+	c.record(eelgrasspoint.EventRevisionInForce, "", "", fmt.Sprintf("revision %d", revision))
+	c.recordZones(before)
+	if c.options.SetBudgets != nil {
+		c.options.SetBudgets(&c.configuration.Document, c.nodesInRegion())
+	}
+	c.wakeUp()
+}
+
+func (c *Controller) recordZones(before map[string]bool) {
+	for _, zone := range c.configuration.Document.AvailabilityZones {
+		was, known := before[zone.Name]
+		switch {
+		case zone.OutOfService && !was:
+			c.record(eelgrasspoint.EventZoneOut, "", zone.Name, "")
+		case !zone.OutOfService && known && was:
+			c.record(eelgrasspoint.EventZoneIn, "", zone.Name, "")
+		}
+	}
+}
+
+func (c *Controller) nodesInRegion() int {
+	n := 0
+	for _, m := range c.members {
+		if m.Alive() && m.Region == c.self.Region {
+			n++
+		}
+	}
+	return n
+}
+
+// Drain stops new work for the backend server beside the node.
+type Drain struct{}
+
+func (Drain) apply(c *Controller) {
+	c.draining = true
+	c.record(eelgrasspoint.EventDrainRequested, "", c.self.AvailabilityZone, "")
+	if b := c.self.BackendServer; b != nil {
+		drained := *b
+		drained.Draining = true
+		c.setBackend(&drained)
+	}
+}
+
+// Leave says aloud that the node stops. Done is closed when the others can be told.
+type Leave struct{ Done chan<- struct{} }
+
+func (l Leave) apply(c *Controller) {
+	c.draining = true
+	c.self.Left = true
+	c.renewSelf()
+	c.publish()
+	close(l.Done)
+}
--- /dev/null
+++ b/coordination/exchanger/exchanger.go
@@ -0,0 +1,127 @@
+// Package exchanger answers the messages of other nodes.
+package exchanger
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
+)
+
+// Exchanger implements the Exchange of the schema.
+type Exchanger struct{ options Options }
+
+// Options are what an exchanger depends on.
+type Options struct {
+	Cluster    string
+	Controller *controller.Controller
+	Recorder   eelgrasspoint.Recorder
+	Witness    func(time.Time)
+	Now        func() time.Time
+	// Pull fetches changes from a member that has a higher revision.
+	Pull func(m eelgrasspoint.Member, after uint64)
+	// Events returns recorded events.
+	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
+	// Crashed takes the report of another exit node.
+	Crashed func(crash string, fingerprints []uint64, withdrawn bool)
+}
+
+var _ schema.Exchange = (*Exchanger)(nil)
+
+// New returns an exchanger.
+func New(options Options) *Exchanger { return &Exchanger{options: options} }
+
+// Converse learns a peer's news and answers with this node's.
+func (e *Exchanger) Converse(_ context.Context, request *schema.ConverseRequest) (*schema.ConverseResponse, error) {
+	if request.GetCluster() != e.options.Cluster {
+		e.badInput("a message of cluster " + request.GetCluster())
+		return nil, twirp.PermissionDenied.Error("another cluster")
+	}
+	e.options.Witness(time.Unix(0, int64(request.GetWall())))
+	e.learn(request)
+	view := e.options.Controller.View()
+	if request.GetRevision() > view.Revision+uint64(len(request.GetChanges())) {
+		e.pullFrom(view, request.GetFrom())
+	}
+	news := view.News
+	if len(news) > eelgrasspoint.MaxNewsPerMessage {
+		news = news[:eelgrasspoint.MaxNewsPerMessage]
+	}
+	return &schema.ConverseResponse{
+		From:     view.Self.Name,
+		Revision: view.Revision,
+		Digest:   view.Digest,
+		News:     translator.MemberMessages(news),
+		Wall:     uint64(e.options.Now().UnixNano()),
+	}, nil
+}
+
+func (e *Exchanger) learn(request *schema.ConverseRequest) {
+	members, invalid := translator.Members(request.GetNews())
+	if invalid > 0 {
+		e.badInput("members that do not parse, from " + request.GetFrom())
+	}
+	if len(members) > 0 {
+		e.options.Controller.Do(controller.Learn{Members: members})
+	}
+	if changes := translator.Changes(request.GetChanges()); len(changes) > 0 {
+		e.options.Controller.Do(controller.Adopt{Changes: changes})
+	}
+}
+
+func (e *Exchanger) pullFrom(view *eelgrasspoint.View, name string) {
+	for _, m := range view.Members {
+		if m.Name == name {
+			go e.options.Pull(m, view.Revision)
+			return
+		}
+	}
+}
+
+// Changes answers with the changes after a revision, or the whole document if they are no
+// longer kept.
+func (e *Exchanger) Changes(_ context.Context, request *schema.ChangesRequest) (*schema.ChangesResponse, error) {
+	view := e.options.Controller.View()
+	after := request.GetAfterRevision()
+	if after >= view.Revision {
+		return &schema.ChangesResponse{}, nil
+	}
+	if len(view.History) > 0 && view.History[0].Revision <= after+1 {
+		skip := after + 1 - view.History[0].Revision
+		return &schema.ChangesResponse{Changes: translator.ChangeMessages(view.History[skip:])}, nil
+	}
+	configuration := e.options.Controller.Configuration()
+	return &schema.ChangesResponse{
+		Snapshot:         translator.DocumentMessage(&configuration.Document),
+		SnapshotRevision: configuration.Revision,
+	}, nil
+}
+
+// Members answers with every known member.
+func (e *Exchanger) Members(context.Context, *schema.MembersRequest) (*schema.MembersResponse, error) {
+	return &schema.MembersResponse{Members: translator.MemberMessages(e.options.Controller.View().Members)}, nil
+}
+
+// Events answers with recorded events.
+func (e *Exchanger) Events(_ context.Context, request *schema.TimelineRequest) (*schema.TimelineResponse, error) {
+	response := &schema.TimelineResponse{}
+	for _, event := range e.options.Events(request) {
+		response.Events = append(response.Events, translator.EventMessage(event))
+	}
+	return response, nil
+}
+
+// Crashed takes the report of another exit node of the service.
+func (e *Exchanger) Crashed(_ context.Context, request *schema.CrashedRequest) (*schema.CrashedResponse, error) {
+	e.options.Crashed(request.GetCrash(), request.GetFingerprints(), request.GetWithdrawn())
+	return &schema.CrashedResponse{}, nil
+}
+
+func (e *Exchanger) badInput(detail string) {
+	e.options.Recorder.Record(eelgrasspoint.Event{Number: eelgrasspoint.EventBadInput, Detail: detail})
+}
--- /dev/null
+++ b/coordination/executor/executor.go
@@ -0,0 +1,229 @@
+// Package executor runs attempts on the backend server beside the node.
+package executor
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/admitter"
+	"eelgrasspoint/coordination/quarantiner"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/transport/dialer"
+)
+
+// Executor is the only way to its backend server, so it knows exactly what runs there.
+// It is safe for concurrent use.
+type Executor struct {
+	options   Options
+	transport *http.Transport
+
+	mu       sync.Mutex
+	backend  *eelgrasspoint.BackendServer
+	epoch    uint64
+	runs     map[*run]struct{}
+	suspects int
+	crash    *pendingCrash
+}
+
+// Options are what an executor depends on.
+type Options struct {
+	Holder      *holder.Holder
+	Admitter    *admitter.Admitter
+	Quarantiner *quarantiner.Quarantiner
+	Recorder    eelgrasspoint.Recorder
+	Clock       eelgrasspoint.Clock
+	Dial        dialer.Func
+	// Report tells the other exit nodes of the service about a crash.
+	Report func(Crash)
+}
+
+// Crash is the end of a backend server with requests in flight.
+type Crash struct {
+	Name         string
+	Service      string
+	Fingerprints []Suspicion
+	Withdrawn    bool
+}
+
+// Suspicion is a request that was in flight at a crash.
+type Suspicion struct {
+	Fingerprint uint64
+	Permitted   []string
+}
+
+var _ eelgrasspoint.Carrier = (*Executor)(nil)
+
+// New returns an executor without a backend server.
+func New(options Options) *Executor {
+	return &Executor{options: options, runs: make(map[*run]struct{})}
+}
+
+// SetBackend takes what the backend server announced, or nil if it left. Another incarnation
+// is a cold start.
+func (e *Executor) SetBackend(backend *eelgrasspoint.BackendServer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.backend
+	e.backend = backend
+	switch {
+	case backend == nil:
+		e.options.Admitter.Close(eelgrasspoint.NoServer)
+	case backend.Draining:
+		e.options.Admitter.Close(eelgrasspoint.Draining)
+	default:
+		e.options.Admitter.Open()
+	}
+	if backend == nil {
+		return
+	}
+	if old == nil || old.Incarnation != backend.Incarnation || old.Address != backend.Address {
+		e.options.Admitter.Reset(int(backend.Slots))
+		e.replaceTransport(backend)
+		e.confirmCrash()
+	}
+}
+
+// InFlight returns the number of attempts that run now.
+func (e *Executor) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.runs)
+}
+
+// Load returns the present counts of the backend server's work.
+func (e *Executor) Load() eelgrasspoint.Load { return e.options.Admitter.Load() }
+
+// Carry admits the attempt, runs it and returns the backend server's answer. The slot is
+// held until the answer's body is closed.
+func (e *Executor) Carry(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+	if err := e.check(&attempt.Meta); err != nil {
+		return nil, err
+	}
+	if err := e.options.Admitter.Admit(ctx, &attempt.Meta); err != nil {
+		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
+	}
+	r, err := e.begin(attempt)
+	if err != nil {
+		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Ignored: true})
+		return nil, err
+	}
+	response, err := r.roundTrip(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &eelgrasspoint.Answer{Response: response, Load: e.Load(), HasLoad: true, ServedBy: e.options.Holder.Load().Self.Name}, nil
+}
+
+// check refuses what may not run here, whatever the load.
+func (e *Executor) check(meta *eelgrasspoint.Meta) error {
+	snapshot := e.options.Holder.Load()
+	if !meta.Permits(snapshot.Self.Region) {
+		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
+	}
+	if e.options.Holder.Stale(e.options.Clock()) {
+		return eelgrasspoint.Refuse(eelgrasspoint.StaleNode, "")
+	}
+	if snapshot.Draining {
+		return eelgrasspoint.Refuse(eelgrasspoint.Draining, "")
+	}
+	if zoneOut(snapshot) {
+		return eelgrasspoint.Refuse(eelgrasspoint.ZoneOutOfService, "")
+	}
+	e.mu.Lock()
+	backend := e.backend
+	e.mu.Unlock()
+	if backend == nil || backend.Service != meta.Service {
+		return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
+	}
+	if e.options.Quarantiner.Standing(meta.Fingerprint) == quarantiner.Barred {
+		return eelgrasspoint.Refuse(eelgrasspoint.Quarantined, "")
+	}
+	return nil
+}
+
+// begin registers the run. A zone or backend server may have left while the attempt waited,
+// so what check saw is looked at again.
+func (e *Executor) begin(attempt *eelgrasspoint.Attempt) (*run, error) {
+	if err := e.check(&attempt.Meta); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.backend == nil || e.backend.Draining {
+		return nil, eelgrasspoint.Refuse(eelgrasspoint.Draining, "")
+	}
+	suspect := e.options.Quarantiner.Standing(attempt.Meta.Fingerprint) == quarantiner.Suspect
+	if suspect && e.suspects > 0 {
+		return nil, eelgrasspoint.Refuse(eelgrasspoint.Overloaded, "another suspect request runs")
+	}
+	r := &run{
+		executor: e, attempt: attempt, backend: *e.backend, transport: e.transport,
+		epoch: e.epoch, suspect: suspect, began: e.options.Clock(),
+	}
+	if suspect {
+		e.suspects++
+	}
+	e.runs[r] = struct{}{}
+	return r, nil
+}
+
+// end gives the slot back. It may be called more than once; the first call counts.
+func (e *Executor) end(r *run, sample eelgrasspoint.Sample) {
+	if !r.ended.CompareAndSwap(false, true) {
+		return
+	}
+	e.mu.Lock()
+	delete(e.runs, r)
+	if r.suspect {
+		e.suspects--
+	}
+	e.mu.Unlock()
+	sample.At = e.options.Clock()
+	sample.Duration = r.serviceTime(sample.At)
+	if sample.Succeeded && r.suspect {
+		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
+	}
+	if e.options.Admitter.Release(sample) {
+		e.record(eelgrasspoint.EventBackendCold, r.backend.Service, r.backend.Address.String())
+	}
+}
+
+func (e *Executor) record(number eelgrasspoint.EventNumber, service, detail string) {
+	e.options.Recorder.Record(eelgrasspoint.Event{
+		Number: number, Service: service,
+		AvailabilityZone: e.options.Holder.Load().Self.AvailabilityZone, Detail: detail,
+	})
+}
+
+// replaceTransport drops the warm connections to an earlier incarnation.
+func (e *Executor) replaceTransport(backend *eelgrasspoint.BackendServer) {
+	if e.transport != nil {
+		go e.transport.CloseIdleConnections()
+	}
+	e.transport = newTransport(dialer.New(e.options.Dial).DialContext, backend)
+}
+
+func newTransport(dial dialer.Func, backend *eelgrasspoint.BackendServer) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxConnsPerHost:     int(backend.Connections),
+		MaxIdleConnsPerHost: int(backend.Connections),
+		IdleConnTimeout:     eelgrasspoint.PeerIdleTime,
+	}
+}
+
+func zoneOut(snapshot *eelgrasspoint.Snapshot) bool {
+	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
+		if zone.Name == snapshot.Self.AvailabilityZone {
+			return zone.OutOfService
+		}
+	}
+	return false
+}
+
+// timeout is the bound of the check whether a backend server still listens.
+const probeTimeout = 200 * time.Millisecond
--- /dev/null
+++ b/coordination/forwarder/forwarder.go
@@ -0,0 +1,165 @@
+// Package forwarder takes a caller's request to a backend server and its answer back.
+package forwarder
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/protocol/labeler"
+	"eelgrasspoint/protocol/parser"
+	"eelgrasspoint/protocol/refuser"
+	"eelgrasspoint/state/budgeter"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/state/meter"
+	"eelgrasspoint/transport/relayer"
+	"eelgrasspoint/transport/replayer"
+)
+
+// Forwarder is the http.Handler of an entry node.
+type Forwarder struct {
+	Options
+	relayer *relayer.Relayer
+}
+
+// Options are what a forwarder depends on.
+type Options struct {
+	Holder       *holder.Holder
+	Chooser      eelgrasspoint.Chooser
+	Retrier      *retrier.Retrier
+	Link         *budgeter.Budgeter
+	Peers        eelgrasspoint.Carrier
+	Local        eelgrasspoint.Carrier
+	Meter        *meter.Meter
+	Recorder     eelgrasspoint.Recorder
+	Clock        eelgrasspoint.Clock
+	Random       *rand.Rand
+	MaxBodyBytes int64
+}
+
+// New returns a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{Options: options, relayer: relayer.New()}
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := f.Clock()
+	// The answer may begin before the request's body has ended.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	p, refusal := f.prepare(r, began)
+	defer p.body.Close()
+	if refusal != nil {
+		f.refuse(w, p, began, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), p.meta.Deadline)
+	defer cancel()
+	answer, failure := p.run(ctx)
+	if failure != nil {
+		f.refuse(w, p, began, failure)
+		return
+	}
+	f.answer(w, p, began, answer)
+}
+
+// prepare reads everything that is known before the first attempt.
+func (f *Forwarder) prepare(r *http.Request, now time.Time) (*passage, *eelgrasspoint.OutcomeError) {
+	call, refusal := parser.Parse(r)
+	p := &passage{
+		forwarder: f,
+		snapshot:  f.Holder.Load(),
+		request:   r,
+		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Key: call.Key},
+		body:      replayer.New(r.Body, f.MaxBodyBytes),
+	}
+	if refusal != nil {
+		return p, refusal
+	}
+	if refusal := p.route(); refusal != nil {
+		return p, refusal
+	}
+	p.meta.Deadline = now.Add(timeLimit(p.matched, call.Timeout))
+	if r.ContentLength > f.MaxBodyBytes {
+		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyTooLarge, "")
+	}
+	if err := p.body.Fill(r.ContentLength); err != nil {
+		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyCutShort, err.Error())
+	}
+	p.meta.Fingerprint = fingerprint(p)
+	return p, nil
+}
+
+func timeLimit(route *eelgrasspoint.Route, asked time.Duration) time.Duration {
+	limit := route.TimeLimit
+	if limit == 0 {
+		limit = eelgrasspoint.DefaultTimeLimit
+	}
+	if asked > 0 {
+		limit = min(limit, asked)
+	}
+	return limit
+}
+
+// fingerprint tells one request from another as far as its caller's words go.
+func fingerprint(p *passage) uint64 {
+	d := xxhash.New()
+	r := p.request
+	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), p.meta.Client, p.meta.Key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(r.ContentLength)))
+	_, _ = d.Write(p.body.Kept())
+	return d.Sum64()
+}
+
+func (f *Forwarder) answer(w http.ResponseWriter, p *passage, began time.Time, answer *eelgrasspoint.Answer) {
+	header := answer.Response.Header
+	labeler.Strip(header)
+	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
+	header[eelgrasspoint.HeaderRequestID] = []string{p.meta.RequestID}
+	defer func() { f.Meter.Request(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(began)) }()
+	f.relayer.Relay(w, answer.Response)
+}
+
+func (f *Forwarder) refuse(w http.ResponseWriter, p *passage, began time.Time, err *eelgrasspoint.OutcomeError) {
+	f.Meter.Request(p.meta.Service, err.Outcome, f.Clock().Sub(began))
+	f.Meter.Refusal(p.meta.Service, err.Reason)
+	p.record(refusalEvent(err), err.Error())
+	refuser.Write(w, p.meta.RequestID, &eelgrasspoint.OutcomeError{
+		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err),
+	})
+}
+
+// publicDetail keeps addresses of nodes and backend servers from callers.
+func publicDetail(err *eelgrasspoint.OutcomeError) string {
+	switch err.Reason {
+	case eelgrasspoint.BadHeader, eelgrasspoint.HeaderTooLarge, eelgrasspoint.TooDeep, eelgrasspoint.BodyCutShort:
+		return err.Detail
+	default:
+		return ""
+	}
+}
+
+func refusalEvent(err *eelgrasspoint.OutcomeError) eelgrasspoint.EventNumber {
+	if err.Outcome == eelgrasspoint.MayHaveRun {
+		return eelgrasspoint.EventRequestFailed
+	}
+	return eelgrasspoint.EventRequestRefused
+}
+
+func asOutcome(err error) *eelgrasspoint.OutcomeError {
+	var outcome *eelgrasspoint.OutcomeError
+	if errors.As(err, &outcome) {
+		return outcome
+	}
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.ConnectionLost, Detail: err.Error()}
+}
--- /dev/null
+++ b/coordination/forwarder/passage.go
@@ -0,0 +1,279 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/protocol/labeler"
+	"eelgrasspoint/transport/relayer"
+	"eelgrasspoint/transport/replayer"
+)
+
+// passage is one request on its way through the entry node.
+type passage struct {
+	forwarder *Forwarder
+	snapshot  *eelgrasspoint.Snapshot
+	request   *http.Request
+	matched   *eelgrasspoint.Route
+	meta      eelgrasspoint.Meta
+	body      *replayer.Replayer
+	header    http.Header
+	tried     []*eelgrasspoint.Candidate
+	attempts  int
+}
+
+// route finds where the request may go.
+func (p *passage) route() *eelgrasspoint.OutcomeError {
+	r := p.request
+	p.matched = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
+	if p.matched == nil && p.snapshot.Configuration.Revision == 0 {
+		return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "no configuration yet")
+	}
+	if p.matched == nil {
+		return eelgrasspoint.Refuse(eelgrasspoint.NoRoute, "")
+	}
+	p.meta.SetRoute(p.matched)
+	permitted, lawful := p.snapshot.Router.Permitted(p.matched, p.meta.Client)
+	p.meta.Permitted = permitted
+	if !lawful {
+		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
+	}
+	return nil
+}
+
+// run sends attempts until one is answered or none may follow.
+func (p *passage) run(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
+	p.header = p.request.Header.Clone()
+	labeler.Strip(p.header)
+	relayer.StripHop(p.header)
+	p.forwarder.Retrier.Earn()
+	var last *eelgrasspoint.OutcomeError
+	for {
+		candidate := p.choose()
+		if candidate == nil {
+			return nil, p.noCandidate(last)
+		}
+		answer, err := p.send(ctx, candidate)
+		if err == nil && !p.replaceAnswer(answer) {
+			return answer, nil
+		}
+		if err != nil {
+			last = p.callerFailure(err)
+		}
+		if err != nil && !p.mayRetry(last) {
+			return nil, last
+		}
+	}
+}
+
+// choose asks for a candidate as the snapshot of this moment has them: a zone may have left
+// since the request came.
+func (p *passage) choose() *eelgrasspoint.Candidate {
+	f := p.forwarder
+	p.snapshot = f.Holder.Load()
+	need := &eelgrasspoint.Need{
+		Region:           p.snapshot.Self.Region,
+		AvailabilityZone: p.snapshot.Self.AvailabilityZone,
+		Self:             p.snapshot.Self.Name,
+		Meta:             &p.meta,
+		Tried:            p.tried,
+		SpillAllowed:     f.Link.Allows(p.linkReserve()),
+	}
+	return f.Chooser.Choose(p.snapshot.Candidates[p.meta.Service], need, f.Clock(), f.Random)
+}
+
+// spillReserve is the share of the link's budget kept for requests that have no other way.
+const spillReserve = 0.5
+
+func (p *passage) linkReserve() float64 {
+	if !p.meta.Permits(p.snapshot.Self.Region) {
+		return 0
+	}
+	return spillReserve
+}
+
+// noCandidate says why no attempt can follow.
+func (p *passage) noCandidate(last *eelgrasspoint.OutcomeError) *eelgrasspoint.OutcomeError {
+	if last != nil {
+		return last
+	}
+	if !p.meta.Permits(p.snapshot.Self.Region) {
+		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
+	}
+	return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
+}
+
+// send makes one attempt, with a second one beside it if the route asks for hedging.
+func (p *passage) send(ctx context.Context, candidate *eelgrasspoint.Candidate) (*eelgrasspoint.Answer, error) {
+	if p.matched.Hedge && p.meta.Idempotent && p.body.Complete() {
+		return p.hedge(ctx, candidate)
+	}
+	return p.attempt(ctx, candidate, p.body.Open())
+}
+
+// attempt sends the request to one candidate and learns from what comes back.
+func (p *passage) attempt(ctx context.Context, candidate *eelgrasspoint.Candidate, body io.ReadCloser) (*eelgrasspoint.Answer, error) {
+	return p.carry(ctx, candidate, p.nextAttempt(candidate), body)
+}
+
+// nextAttempt counts an attempt at the candidate.
+func (p *passage) nextAttempt(candidate *eelgrasspoint.Candidate) eelgrasspoint.Meta {
+	p.tried = append(p.tried, candidate)
+	meta := p.meta
+	meta.Attempt = p.attempts
+	p.attempts++
+	p.forwarder.Meter.Attempt(meta.Service, meta.Attempt)
+	return meta
+}
+
+// carry is safe to be run beside another attempt of the same request.
+func (p *passage) carry(ctx context.Context, candidate *eelgrasspoint.Candidate, meta eelgrasspoint.Meta, body io.ReadCloser) (*eelgrasspoint.Answer, error) {
+	f := p.forwarder
+	gauge := candidate.Gauge
+	gauge.Begin()
+	began := f.Clock()
+	answer, err := p.carrier(candidate).Carry(ctx, candidate, &eelgrasspoint.Attempt{
+		Meta: meta, Method: p.request.Method, Target: p.request.URL.RequestURI(), Host: p.request.Host,
+		Header: p.header, Body: body, Length: p.request.ContentLength,
+	})
+	now := f.Clock()
+	if answer != nil && answer.HasLoad {
+		gauge.SetLoad(answer.Load, now)
+	}
+	if err != nil {
+		gauge.End()
+		learnFailure(gauge, asOutcome(err), now)
+		p.chargeLink(candidate, 0)
+		return nil, err
+	}
+	gauge.Succeed()
+	gauge.ObserveStatus(serverError(answer.Response.StatusCode), now)
+	gauge.Observe(now.Sub(began), now)
+	answer.Response.Body = &countedBody{ReadCloser: answer.Response.Body, passage: p, candidate: candidate}
+	return answer, nil
+}
+
+func (p *passage) carrier(candidate *eelgrasspoint.Candidate) eelgrasspoint.Carrier {
+	if candidate.Node == p.snapshot.Self.Name {
+		return p.forwarder.Local
+	}
+	return p.forwarder.Peers
+}
+
+// chargeLink counts what crossed the link to another region.
+func (p *passage) chargeLink(candidate *eelgrasspoint.Candidate, answered int64) {
+	if candidate.Region == p.snapshot.Self.Region {
+		return
+	}
+	bytes := max(p.request.ContentLength, 0) + answered + headerAllowance
+	p.forwarder.Link.Charge(bytes)
+	p.forwarder.Meter.Link(bytes)
+}
+
+// headerAllowance stands for the headers of a request and its answer on the link, in bytes.
+const headerAllowance = 1024
+
+// learnFailure holds back a backend server that could not be reached or broke off. A refusal
+// for load says nothing against it.
+func learnFailure(gauge *eelgrasspoint.Gauge, err *eelgrasspoint.OutcomeError, now time.Time) {
+	switch err.Reason {
+	case eelgrasspoint.ServerUnreachable, eelgrasspoint.ConnectionLost, eelgrasspoint.NoServer,
+		eelgrasspoint.Draining, eelgrasspoint.ZoneOutOfService:
+		gauge.Fail(now)
+	case eelgrasspoint.TimedOut:
+		gauge.ObserveStatus(true, now)
+	}
+}
+
+func serverError(status int) bool { return status >= http.StatusInternalServerError }
+
+// callerFailure turns a failure of the caller's own body into what it is.
+func (p *passage) callerFailure(err error) *eelgrasspoint.OutcomeError {
+	outcome := asOutcome(err)
+	bodyErr := p.body.Err()
+	if bodyErr == nil {
+		return outcome
+	}
+	reason := eelgrasspoint.BodyCutShort
+	if tooLarge := asOutcome(bodyErr); tooLarge.Reason == eelgrasspoint.BodyTooLarge {
+		reason = eelgrasspoint.BodyTooLarge
+	}
+	return &eelgrasspoint.OutcomeError{Outcome: outcome.Outcome, Reason: reason, Detail: bodyErr.Error()}
+}
+
+func (p *passage) mayRetry(last *eelgrasspoint.OutcomeError) bool {
+	failure := retrier.Failure{
+		Err: last, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
+		Attempts: p.attempts, Deadline: p.meta.Deadline,
+	}
+	if !retrier.Allowed(failure, p.forwarder.Clock()) || !p.forwarder.Retrier.Spend() {
+		return false
+	}
+	p.record(eelgrasspoint.EventRequestRetried, last.Error())
+	return true
+}
+
+// replaceAnswer reports whether an error of the backend server is worth another attempt, and
+// gives the answer up if so.
+func (p *passage) replaceAnswer(answer *eelgrasspoint.Answer) bool {
+	if !serverError(answer.Response.StatusCode) || p.attempts > 1 || !p.meta.Idempotent {
+		return false
+	}
+	if p.choose() == nil {
+		return false
+	}
+	if !p.mayRetry(&eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun}) {
+		return false
+	}
+	answer.Response.Body.Close()
+	return true
+}
+
+// record writes an event unless this node's region may not store anything of the request.
+func (p *passage) record(number eelgrasspoint.EventNumber, detail string) {
+	if !p.meta.Permits(p.snapshot.Self.Region) {
+		return
+	}
+	p.forwarder.Recorder.Record(eelgrasspoint.Event{
+		Number: number, Service: p.meta.Service, RequestID: p.meta.RequestID,
+		AvailabilityZone: p.snapshot.Self.AvailabilityZone, Detail: detail, Permitted: p.meta.Permitted,
+	})
+}
+
+// countedBody ends the count of the request at its candidate when the answer ends.
+type countedBody struct {
+	io.ReadCloser
+	passage   *passage
+	candidate *eelgrasspoint.Candidate
+	bytes     int64
+	ended     bool
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.candidate.Gauge.End()
+		b.passage.chargeLink(b.candidate, b.bytes)
+	}
+	return b.ReadCloser.Close()
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/coordination/limiter/fixed.go
@@ -0,0 +1,13 @@
+package limiter
+
+import "eelgrasspoint"
+
+// fixed is the baseline that the adaptive limit is measured against.
+type fixed struct{ slots int }
+
+// NewFixed returns a limiter that always allows the announced slots.
+func NewFixed(slots int) eelgrasspoint.Limiter { return &fixed{slots: slots} }
+
+func (f *fixed) Limit() int                        { return f.slots }
+func (f *fixed) Observe(eelgrasspoint.Sample) bool { return false }
+func (f *fixed) Reset(slots int)                   { f.slots = slots }
--- /dev/null
+++ b/coordination/observer/observer.go
@@ -0,0 +1,297 @@
+// Package observer sends heartbeats to the members that this node observes, carries news with
+// them and claims the failure of those that do not answer.
+package observer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/meter"
+)
+
+// Observer runs beside the controller and does its talking.
+type Observer struct {
+	options Options
+
+	mu       sync.Mutex
+	peers    map[string]*peer
+	lastBeat time.Time
+}
+
+// Options are what an observer depends on.
+type Options struct {
+	Cluster    string
+	Controller *controller.Controller
+	Client     *http.Client
+	Recorder   eelgrasspoint.Recorder
+	// Witness moves the event clock past a peer's.
+	Witness func(time.Time)
+	Now     func() time.Time
+	Meter   *meter.Meter
+	Clock   eelgrasspoint.Clock
+	// Refreshed is called after each round of heartbeats.
+	Refreshed func(time.Time)
+}
+
+// peer is what the observer remembers of one member.
+type peer struct {
+	failures   int
+	mismatches int
+	revision   uint64
+	syncedAt   time.Time
+}
+
+// Bounds of the repair of differing views.
+const (
+	mismatchesToSync = 4
+	syncInterval     = 15 * time.Second
+	flushDelay       = 40 * time.Millisecond
+	witnesses        = 2
+)
+
+// New returns an observer.
+func New(options Options) *Observer {
+	return &Observer{options: options, peers: make(map[string]*peer), lastBeat: options.Clock()}
+}
+
+// Run sends heartbeats until the context ends.
+func (o *Observer) Run(ctx context.Context) {
+	ticker := time.NewTicker(eelgrasspoint.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.round(ctx)
+		case <-o.options.Controller.Wake():
+			go o.flush(ctx)
+		}
+	}
+}
+
+// Flush tells the observed members the present news at once and waits for them.
+func (o *Observer) Flush(ctx context.Context) {
+	view := o.options.Controller.View()
+	var group sync.WaitGroup
+	for _, m := range view.Observed {
+		group.Go(func() { _ = o.converse(ctx, view, m) })
+	}
+	group.Wait()
+}
+
+func (o *Observer) flush(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(flushDelay):
+	}
+	o.Flush(ctx)
+}
+
+// round sends one heartbeat to each observed member and judges who failed.
+func (o *Observer) round(ctx context.Context) {
+	view := o.options.Controller.View()
+	paused := o.noticePause()
+	var group sync.WaitGroup
+	answers := make([]bool, len(view.Observed))
+	for i, m := range view.Observed {
+		group.Go(func() { answers[i] = o.converse(ctx, view, m) == nil })
+	}
+	group.Wait()
+	if ctx.Err() != nil {
+		return
+	}
+	o.options.Refreshed(o.options.Clock())
+	if paused {
+		return
+	}
+	o.judge(ctx, view, answers)
+}
+
+// noticePause reports whether this process stood still: then its peers did not fail.
+func (o *Observer) noticePause() bool {
+	now := o.options.Clock()
+	paused := now.Sub(o.lastBeat) > 2*eelgrasspoint.HeartbeatInterval
+	o.lastBeat = now
+	return paused
+}
+
+// judge claims failures. A node that reaches nobody suspects itself first.
+func (o *Observer) judge(ctx context.Context, view *eelgrasspoint.View, answers []bool) {
+	var failed []eelgrasspoint.Member
+	answered := 0
+	for i, m := range view.Observed {
+		switch {
+		case answers[i]:
+			answered++
+			o.setFailures(m.Name, 0)
+		case o.addFailure(m.Name) >= eelgrasspoint.HeartbeatFailures:
+			failed = append(failed, m)
+		}
+	}
+	if len(failed) == 0 {
+		return
+	}
+	if answered == 0 && !o.reachesOthers(ctx, view) {
+		o.options.Recorder.Record(eelgrasspoint.Event{
+			Number: eelgrasspoint.EventIsolationSuspected, AvailabilityZone: view.Self.AvailabilityZone,
+		})
+		return
+	}
+	for _, m := range failed {
+		o.claim(view, m)
+	}
+}
+
+// claim leaves the judgment of another region's members to their own region.
+func (o *Observer) claim(view *eelgrasspoint.View, m eelgrasspoint.Member) {
+	o.setFailures(m.Name, 0)
+	if m.Region != view.Self.Region {
+		o.options.Controller.Do(controller.MoveBridges{})
+		return
+	}
+	o.options.Controller.Do(controller.Fail{Member: m})
+}
+
+// reachesOthers asks members that are not observed.
+func (o *Observer) reachesOthers(ctx context.Context, view *eelgrasspoint.View) bool {
+	asked := 0
+	for _, m := range view.Members {
+		if asked == witnesses {
+			return false
+		}
+		if m.Name == view.Self.Name || !m.Alive() || contains(view.Observed, m.Name) {
+			continue
+		}
+		asked++
+		if o.converse(ctx, view, m) == nil {
+			return true
+		}
+	}
+	// Nobody else is left to ask.
+	return asked == 0
+}
+
+// converse exchanges one message each way.
+func (o *Observer) converse(ctx context.Context, view *eelgrasspoint.View, m eelgrasspoint.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
+	defer cancel()
+	o.options.Meter.Exchange("Converse")
+	client := o.client(m)
+	response, err := client.Converse(ctx, o.message(view, m.Name))
+	if err != nil {
+		o.options.Client.CloseIdleConnections()
+		return err
+	}
+	o.options.Witness(time.Unix(0, int64(response.GetWall())))
+	o.setRevision(m.Name, response.GetRevision())
+	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
+		o.options.Controller.Do(controller.Learn{Members: members})
+	}
+	if response.GetRevision() > view.Revision {
+		o.Pull(ctx, m, view.Revision)
+	}
+	o.compareDigest(ctx, view, m, response)
+	return nil
+}
+
+func (o *Observer) message(view *eelgrasspoint.View, to string) *schema.ConverseRequest {
+	news := view.News
+	if len(news) > eelgrasspoint.MaxNewsPerMessage {
+		news = news[:eelgrasspoint.MaxNewsPerMessage]
+	}
+	return &schema.ConverseRequest{
+		Cluster:  o.options.Cluster,
+		From:     view.Self.Name,
+		Revision: view.Revision,
+		Digest:   view.Digest,
+		News:     translator.MemberMessages(news),
+		Wall:     uint64(o.options.Now().UnixNano()),
+		Changes:  translator.ChangeMessages(lacking(view.Recent, o.revision(to))),
+	}
+}
+
+// lacking returns the changes above a peer's revision.
+func lacking(changes []eelgrasspoint.Change, revision uint64) []eelgrasspoint.Change {
+	for i, change := range changes {
+		if change.Revision > revision {
+			return changes[i:]
+		}
+	}
+	return nil
+}
+
+// Pull fetches the changes that this node lacks from a member.
+func (o *Observer) Pull(ctx context.Context, m eelgrasspoint.Member, after uint64) {
+	o.options.Meter.Exchange("Changes")
+	response, err := o.client(m).Changes(ctx, &schema.ChangesRequest{AfterRevision: after})
+	if err != nil {
+		return
+	}
+	if response.GetSnapshot() != nil {
+		o.options.Controller.Do(controller.Replace{Configuration: eelgrasspoint.Configuration{
+			Revision: response.GetSnapshotRevision(), Document: translator.Document(response.GetSnapshot()),
+		}})
+	}
+	o.options.Controller.Do(controller.Adopt{Changes: translator.Changes(response.GetChanges())})
+}
+
+// compareDigest repairs views that stay different after the news is out.
+func (o *Observer) compareDigest(ctx context.Context, view *eelgrasspoint.View, m eelgrasspoint.Member, response *schema.ConverseResponse) {
+	if response.GetDigest() == view.Digest || len(view.News) > 0 || len(response.GetNews()) > 0 {
+		o.setMismatches(m.Name, 0)
+		return
+	}
+	if !o.syncDue(m.Name) {
+		return
+	}
+	o.Sync(ctx, m)
+}
+
+// Sync exchanges the whole list of members with one of them.
+func (o *Observer) Sync(ctx context.Context, m eelgrasspoint.Member) {
+	o.options.Meter.Exchange("Members")
+	response, err := o.client(m).Members(ctx, &schema.MembersRequest{})
+	if err != nil {
+		return
+	}
+	members, _ := translator.Members(response.GetMembers())
+	o.options.Controller.Do(controller.Learn{Members: members})
+	o.options.Controller.Do(controller.Respread{Names: newerThan(o.options.Controller.View().Members, members)})
+}
+
+// newerThan names the members of own that the others lack or have in an older version.
+func newerThan(own, others []eelgrasspoint.Member) []string {
+	known := make(map[string]eelgrasspoint.Member, len(others))
+	for _, m := range others {
+		known[m.Name] = m
+	}
+	var names []string
+	for _, m := range own {
+		other, ok := known[m.Name]
+		if (!ok && m.Alive()) || (ok && m.Supersedes(other)) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (o *Observer) client(m eelgrasspoint.Member) schema.Exchange {
+	return schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), o.options.Client)
+}
+
+func contains(members []eelgrasspoint.Member, name string) bool {
+	for _, m := range members {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/observer/peer.go
@@ -0,0 +1,59 @@
+package observer
+
+// The functions here guard what is remembered of each peer.
+
+func (o *Observer) peer(name string) *peer {
+	p := o.peers[name]
+	if p == nil {
+		p = &peer{}
+		o.peers[name] = p
+	}
+	return p
+}
+
+func (o *Observer) addFailure(name string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.peer(name)
+	p.failures++
+	return p.failures
+}
+
+func (o *Observer) setFailures(name string, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peer(name).failures = n
+}
+
+func (o *Observer) setMismatches(name string, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peer(name).mismatches = n
+}
+
+func (o *Observer) revision(name string) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peer(name).revision
+}
+
+func (o *Observer) setRevision(name string, revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peer(name).revision = revision
+}
+
+// syncDue counts a mismatch and reports whether it has lasted long enough to be repaired.
+func (o *Observer) syncDue(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.peer(name)
+	p.mismatches++
+	now := o.options.Clock()
+	if p.mismatches < mismatchesToSync || now.Sub(p.syncedAt) < syncInterval {
+		return false
+	}
+	p.mismatches = 0
+	p.syncedAt = now
+	return true
+}
--- /dev/null
+++ b/coordination/operator/operator.go
@@ -0,0 +1,227 @@
+// Package operator answers the calls of operators.
+package operator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/committer"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/holder"
+)
+
+// Operator implements the Operators of the schema.
+type Operator struct{ options Options }
+
+// Options are what an operator depends on.
+type Options struct {
+	Cluster    string
+	Controller *controller.Controller
+	Committer  *committer.Committer
+	Holder     *holder.Holder
+	Client     *http.Client
+	Load       func() eelgrasspoint.Load
+	Events     func(request *schema.TimelineRequest) []eelgrasspoint.Event
+	Clock      eelgrasspoint.Clock
+}
+
+var _ schema.Operators = (*Operator)(nil)
+
+// callsAtOnce bounds the calls to other nodes that one operator's call makes at a time.
+const callsAtOnce = 32
+
+// New returns an operator.
+func New(options Options) *Operator { return &Operator{options: options} }
+
+// Apply commits one change.
+func (o *Operator) Apply(ctx context.Context, request *schema.ApplyRequest) (*schema.ApplyResponse, error) {
+	id := cmp.Or(request.GetChangeId(), uuid.NewString())
+	revision, err := o.options.Committer.Commit(ctx, committer.Proposal{
+		Change: eelgrasspoint.Change{
+			ChangeID: id, Put: translator.Document(request.GetPut()), Remove: translator.Removal(request.GetRemove()),
+		},
+		ExpectedRevision: request.GetExpectedRevision(),
+		Force:            request.GetForce(),
+		DryRun:           request.GetDryRun(),
+	})
+	response := &schema.ApplyResponse{ChangeId: id, Revision: revision, Result: schema.ApplyResult_APPLY_RESULT_ACCEPTED}
+	describe(response, err)
+	return response, nil
+}
+
+// describe puts the error of a commit into the response.
+func describe(response *schema.ApplyResponse, err error) {
+	if err == nil {
+		return
+	}
+	response.Detail = err.Error()
+	var invalid *eelgrasspoint.InvalidError
+	var conflict *eelgrasspoint.RevisionConflictError
+	var unknown *eelgrasspoint.UnknownOutcomeError
+	switch {
+	case errors.As(err, &invalid):
+		response.Result = schema.ApplyResult_APPLY_RESULT_INVALID
+		response.Mistakes = translator.MistakeMessages(invalid.Mistakes)
+	case errors.As(err, &conflict):
+		response.Result = schema.ApplyResult_APPLY_RESULT_CONFLICT
+		response.Revision = conflict.Winner
+	case errors.As(err, &unknown):
+		response.Result = schema.ApplyResult_APPLY_RESULT_UNKNOWN
+	default:
+		response.Result = schema.ApplyResult_APPLY_RESULT_UNAVAILABLE
+	}
+}
+
+// Get returns the configuration in force.
+func (o *Operator) Get(context.Context, *schema.GetRequest) (*schema.GetResponse, error) {
+	configuration := o.options.Holder.Load().Configuration
+	return &schema.GetResponse{
+		Revision:      configuration.Revision,
+		Configuration: translator.DocumentMessage(&configuration.Document),
+	}, nil
+}
+
+// Status returns what this node knows of all.
+func (o *Operator) Status(context.Context, *schema.StatusRequest) (*schema.StatusResponse, error) {
+	view := o.options.Controller.View()
+	snapshot := o.options.Holder.Load()
+	response := &schema.StatusResponse{Node: view.Self.Name, Revision: view.Revision}
+	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
+		response.AvailabilityZones = append(response.AvailabilityZones, translator.ZoneMessage(zone))
+	}
+	for _, m := range view.Members {
+		response.Nodes = append(response.Nodes, o.nodeStatus(snapshot, m))
+	}
+	return response, nil
+}
+
+func (o *Operator) nodeStatus(snapshot *eelgrasspoint.Snapshot, m eelgrasspoint.Member) *schema.NodeStatus {
+	status := &schema.NodeStatus{Member: translator.MemberMessage(m)}
+	if m.Name == snapshot.Self.Name {
+		status.Load = translator.LoadMessage(o.options.Load())
+		status.LoadAge = durationpb.New(0)
+	}
+	if m.BackendServer == nil {
+		return status
+	}
+	now := o.options.Clock()
+	for _, c := range snapshot.Candidates[m.BackendServer.Service] {
+		if c.Node != m.Name {
+			continue
+		}
+		status.Suspect = c.Gauge.Suspect(now)
+		status.InFlight = uint32(max(c.Gauge.InFlight(), 0))
+		if load, at := c.Gauge.Load(); !at.IsZero() && status.Load == nil {
+			status.Load = translator.LoadMessage(load)
+			status.LoadAge = durationpb.New(now.Sub(at))
+		}
+	}
+	return status
+}
+
+// Rollout asks every known node for its revision.
+func (o *Operator) Rollout(ctx context.Context, _ *schema.RolloutRequest) (*schema.RolloutResponse, error) {
+	view := o.options.Controller.View()
+	response := &schema.RolloutResponse{}
+	var mu sync.Mutex
+	o.everyPeer(ctx, view, func(ctx context.Context, m eelgrasspoint.Member, peer schema.Exchange) {
+		row := &schema.NodeRevision{Node: m.Name}
+		answer, err := peer.Converse(ctx, &schema.ConverseRequest{
+			Cluster: o.options.Cluster, From: view.Self.Name, Revision: view.Revision, Digest: view.Digest,
+			Wall: uint64(o.options.Clock().UnixNano()),
+		})
+		if err != nil {
+			row.Error = err.Error()
+		}
+		row.Revision = answer.GetRevision()
+		mu.Lock()
+		defer mu.Unlock()
+		response.Nodes = append(response.Nodes, row)
+	})
+	response.Nodes = append(response.Nodes, &schema.NodeRevision{Node: view.Self.Name, Revision: o.options.Controller.View().Revision})
+	slices.SortFunc(response.Nodes, func(a, b *schema.NodeRevision) int { return cmp.Compare(a.GetNode(), b.GetNode()) })
+	return response, nil
+}
+
+// Timeline merges the events of this node and, if asked, of all others.
+func (o *Operator) Timeline(ctx context.Context, request *schema.TimelineRequest) (*schema.TimelineResponse, error) {
+	view := o.options.Controller.View()
+	request.Region = view.Self.Region
+	response := &schema.TimelineResponse{}
+	for _, event := range o.options.Events(request) {
+		response.Events = append(response.Events, translator.EventMessage(event))
+	}
+	if request.GetEverywhere() {
+		o.collect(ctx, view, request, response)
+	}
+	slices.SortFunc(response.Events, func(a, b *schema.Event) int {
+		return cmp.Or(cmp.Compare(a.GetWall(), b.GetWall()), cmp.Compare(a.GetLogical(), b.GetLogical()), cmp.Compare(a.GetNode(), b.GetNode()))
+	})
+	if limit := int(request.GetMaxEvents()); limit > 0 && len(response.Events) > limit {
+		response.Events = response.Events[len(response.Events)-limit:]
+	}
+	return response, nil
+}
+
+func (o *Operator) collect(ctx context.Context, view *eelgrasspoint.View, request *schema.TimelineRequest, response *schema.TimelineResponse) {
+	var mu sync.Mutex
+	o.everyPeer(ctx, view, func(ctx context.Context, m eelgrasspoint.Member, peer schema.Exchange) {
+		answer, err := peer.Events(ctx, request)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			response.Unreachable = append(response.Unreachable, m.Name)
+		}
+		response.Events = append(response.Events, answer.GetEvents()...)
+	})
+	slices.Sort(response.Unreachable)
+}
+
+// everyPeer calls each living member but this node, a bounded number at a time.
+func (o *Operator) everyPeer(ctx context.Context, view *eelgrasspoint.View, call func(context.Context, eelgrasspoint.Member, schema.Exchange)) {
+	slots := make(chan struct{}, callsAtOnce)
+	var group sync.WaitGroup
+	for _, m := range view.Members {
+		if m.Name == view.Self.Name || !m.Alive() {
+			continue
+		}
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.RolloutTimeout)
+			defer cancel()
+			call(ctx, m, schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), o.options.Client))
+		})
+	}
+	group.Wait()
+}
+
+// Drain stops new work for the backend server beside the node.
+func (o *Operator) Drain(context.Context, *schema.DrainRequest) (*schema.DrainResponse, error) {
+	o.options.Controller.Do(controller.Drain{})
+	return &schema.DrainResponse{}, nil
+}
+
+// Filter reports whether an event answers a request.
+func Filter(event eelgrasspoint.Event, request *schema.TimelineRequest) bool {
+	if len(event.Permitted) > 0 && !slices.Contains(event.Permitted, request.GetRegion()) {
+		return false
+	}
+	return matches(request.GetService(), event.Service) &&
+		matches(request.GetAvailabilityZone(), event.AvailabilityZone) &&
+		matches(request.GetRequestId(), event.RequestID) &&
+		event.Wall.After(time.Unix(0, int64(request.GetAfterWall())))
+}
+
+func matches(wanted, got string) bool { return wanted == "" || wanted == got }
--- /dev/null
+++ b/coordination/quarantiner/quarantiner.go
@@ -0,0 +1,120 @@
+// Package quarantiner finds the requests that crash the backend servers which run them.
+package quarantiner
+
+import (
+	"sync"
+	"time"
+
+	"eelgrasspoint"
+)
+
+// crashesToQuarantine is the number of crashes with the request in flight that bars it.
+const crashesToQuarantine = 2
+
+// Quarantiner counts, by fingerprint, the crashes that a request was in flight at. A request
+// seen at one crash is a suspect: a backend server runs one suspect at a time, so that the
+// second crash tells it from the others. It is safe for concurrent use.
+type Quarantiner struct {
+	clock eelgrasspoint.Clock
+
+	mu      sync.Mutex
+	records map[uint64]*record
+}
+
+type record struct {
+	crashes map[string]struct{}
+	until   time.Time
+}
+
+// Standing is what is known against a request.
+type Standing int
+
+// Standings, from none to the worst.
+const (
+	Clean Standing = iota
+	Suspect
+	Barred
+)
+
+// New returns an empty quarantiner.
+func New(clock eelgrasspoint.Clock) *Quarantiner {
+	return &Quarantiner{clock: clock, records: make(map[uint64]*record)}
+}
+
+// Standing returns what is known against the fingerprint.
+func (q *Quarantiner) Standing(fingerprint uint64) Standing {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.records[fingerprint]
+	if r == nil || r.until.Before(q.clock()) {
+		return Clean
+	}
+	if len(r.crashes) >= crashesToQuarantine {
+		return Barred
+	}
+	return Suspect
+}
+
+// Crash counts the crash, named by node and incarnation, against the fingerprints and
+// returns those that it barred.
+func (q *Quarantiner) Crash(crash string, fingerprints []uint64) []uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expire()
+	var barred []uint64
+	for _, fingerprint := range fingerprints {
+		if q.count(crash, fingerprint) {
+			barred = append(barred, fingerprint)
+		}
+	}
+	return barred
+}
+
+// Forget takes the crash back, as when the backend server turned out to be alive.
+func (q *Quarantiner) Forget(crash string, fingerprints []uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, fingerprint := range fingerprints {
+		r := q.records[fingerprint]
+		if r == nil {
+			continue
+		}
+		delete(r.crashes, crash)
+		if len(r.crashes) == 0 {
+			delete(q.records, fingerprint)
+		}
+	}
+}
+
+// Clear ends the suspicion against a request that ran well.
+func (q *Quarantiner) Clear(fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r := q.records[fingerprint]; r != nil && len(r.crashes) < crashesToQuarantine {
+		delete(q.records, fingerprint)
+	}
+}
+
+func (q *Quarantiner) count(crash string, fingerprint uint64) bool {
+	r := q.records[fingerprint]
+	if r == nil {
+		if len(q.records) >= eelgrasspoint.MaxSuspectRequests {
+			return false
+		}
+		r = &record{crashes: make(map[string]struct{})}
+		q.records[fingerprint] = r
+	}
+	before := len(r.crashes)
+	r.crashes[crash] = struct{}{}
+	r.until = q.clock().Add(eelgrasspoint.SuspectRequestTime)
+	return before < crashesToQuarantine && len(r.crashes) >= crashesToQuarantine
+}
+
+func (q *Quarantiner) expire() {
+	now := q.clock()
+	for fingerprint, r := range q.records {
+		if r.until.Before(now) {
+			delete(q.records, fingerprint)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/router/router.go
@@ -0,0 +1,130 @@
+// Package router finds the route of a request and the regions that it is bound to.
+package router
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"eelgrasspoint"
+)
+
+// Router is an immutable index of the routes and Clients of one revision.
+type Router struct {
+	byHost  map[string]map[string][]*eelgrasspoint.Route
+	byName  map[string]*eelgrasspoint.Route
+	clients map[string]*eelgrasspoint.Client
+}
+
+// New returns the index of a document.
+func New(document *eelgrasspoint.Document) *Router {
+	r := &Router{
+		byHost:  make(map[string]map[string][]*eelgrasspoint.Route),
+		byName:  make(map[string]*eelgrasspoint.Route, len(document.Routes)),
+		clients: make(map[string]*eelgrasspoint.Client, len(document.Clients)),
+	}
+	for i := range document.Routes {
+		r.add(&document.Routes[i])
+	}
+	for i := range document.Clients {
+		r.clients[document.Clients[i].Name] = &document.Clients[i]
+	}
+	return r
+}
+
+func (r *Router) add(route *eelgrasspoint.Route) {
+	r.byName[route.Name] = route
+	segments := r.byHost[route.Host]
+	if segments == nil {
+		segments = make(map[string][]*eelgrasspoint.Route)
+		r.byHost[route.Host] = segments
+	}
+	key := indexSegment(route.PathPrefix)
+	routes := append(segments[key], route)
+	slices.SortStableFunc(routes, func(a, b *eelgrasspoint.Route) int {
+		return cmp.Or(
+			cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+			cmp.Compare(len(b.Methods), len(a.Methods)),
+			strings.Compare(a.Name, b.Name),
+		)
+	})
+	segments[key] = routes
+}
+
+// Match returns the route with the longest path prefix; a route that names the host goes first.
+func (r *Router) Match(host, path, method string) *eelgrasspoint.Route {
+	if route := matchSegments(r.byHost[host], path, method); route != nil {
+		return route
+	}
+	if host == "" {
+		return nil
+	}
+	return matchSegments(r.byHost[""], path, method)
+}
+
+// Route returns the route with the name, or nil.
+func (r *Router) Route(name string) *eelgrasspoint.Route { return r.byName[name] }
+
+// Permitted returns the regions that a request is bound to. It is lawful nowhere if the route
+// and the Client have home regions without a common one.
+func (r *Router) Permitted(route *eelgrasspoint.Route, client string) ([]string, bool) {
+	var ofClient []string
+	if c := r.clients[client]; c != nil {
+		ofClient = c.HomeRegions
+	}
+	if len(ofClient) == 0 {
+		return route.HomeRegions, true
+	}
+	if len(route.HomeRegions) == 0 {
+		return ofClient, true
+	}
+	common := slices.DeleteFunc(slices.Clone(ofClient), func(region string) bool {
+		return !slices.Contains(route.HomeRegions, region)
+	})
+	return common, len(common) > 0
+}
+
+func matchSegments(segments map[string][]*eelgrasspoint.Route, path, method string) *eelgrasspoint.Route {
+	if route := matchRoutes(segments[firstSegment(path)], path, method); route != nil {
+		return route
+	}
+	return matchRoutes(segments[""], path, method)
+}
+
+func matchRoutes(routes []*eelgrasspoint.Route, path, method string) *eelgrasspoint.Route {
+	for _, route := range routes {
+		if prefixCovers(route.PathPrefix, path) && methodAllowed(route.Methods, method) {
+			return route
+		}
+	}
+	return nil
+}
+
+func methodAllowed(methods []string, method string) bool {
+	return len(methods) == 0 || slices.Contains(methods, method)
+}
+
+// prefixCovers matches whole segments: /lots covers /lots and /lots/7, but not /lotsize.
+func prefixCovers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// indexSegment returns the segment that a route is indexed under; a prefix without a whole
+// first segment matches many and goes under the empty one.
+func indexSegment(prefix string) string {
+	if strings.Trim(prefix, "/") == "" {
+		return ""
+	}
+	return firstSegment(prefix)
+}
+
+func firstSegment(path string) string {
+	path = strings.TrimPrefix(path, "/")
+	if end := strings.IndexByte(path, '/'); end >= 0 {
+		return path[:end]
+	}
+	return path
+}
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,3 @@
+// Package eelgrasspoint holds the value types and interfaces that the packages
+// of the load balancer share. It does no I/O.
+package eelgrasspoint
--- /dev/null
+++ b/limit.go
@@ -0,0 +1,28 @@
+package eelgrasspoint
+
+import "time"
+
+// Sample is one finished run on a backend server.
+type Sample struct {
+	At        time.Time
+	Duration  time.Duration
+	InUse     int
+	Succeeded bool
+	// Shed is set if the backend server said that it has too much work.
+	Shed bool
+	// Refused is set if the backend server refused the connection.
+	Refused bool
+	// Ignored is set if the run says nothing about the backend server, as when its caller went away.
+	Ignored bool
+}
+
+// Limiter decides how many requests a backend server may run at once. It is pure: samples
+// carry the time. It is not safe for concurrent use.
+type Limiter interface {
+	// Limit returns the present limit.
+	Limit() int
+	// Observe learns from a finished run and reports whether the backend server turned cold.
+	Observe(sample Sample) (cold bool)
+	// Reset starts again for a backend server with the slots, as after a cold start.
+	Reset(slots int)
+}
--- /dev/null
+++ b/member.go
@@ -0,0 +1,183 @@
+package eelgrasspoint
+
+import (
+	"math"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// BackendServer is what a backend server announced of itself.
+type BackendServer struct {
+	Service     string
+	Address     netip.AddrPort
+	Incarnation uint64
+	Slots       uint32
+	Connections uint32
+	Draining    bool
+}
+
+// Member is a node as the others know it.
+type Member struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	PeerAddress      netip.AddrPort
+	Incarnation      uint64
+	Version          uint64
+	Left             bool
+	Failed           bool
+	BackendServer    *BackendServer
+}
+
+// Supersedes reports whether m is newer than other. Only the node itself raises its
+// incarnation and version; a claim of failure wins over life at the same version.
+func (m Member) Supersedes(other Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation > other.Incarnation
+	}
+	if m.Version != other.Version {
+		return m.Version > other.Version
+	}
+	return m.Failed && !other.Failed
+}
+
+// Alive reports whether the member neither left nor failed.
+func (m Member) Alive() bool { return !m.Left && !m.Failed }
+
+// Load is an exit node's own count of its backend server's work.
+type Load struct {
+	InUse  uint32
+	Limit  uint32
+	Queued uint32
+}
+
+// Gauge is what one node knows of a backend server's load. It is safe for concurrent use.
+type Gauge struct {
+	inFlight     atomic.Int64
+	load         atomic.Pointer[timedLoad]
+	latency      atomic.Int64
+	latencyAt    atomic.Int64
+	errorShare   atomic.Uint64
+	errorAt      atomic.Int64
+	suspectUntil atomic.Int64
+	failures     atomic.Int64
+}
+
+type timedLoad struct {
+	load Load
+	at   time.Time
+}
+
+// Begin counts one request on its way.
+func (g *Gauge) Begin() { g.inFlight.Add(1) }
+
+// End counts one request done.
+func (g *Gauge) End() { g.inFlight.Add(-1) }
+
+// InFlight returns this node's own count of requests on their way.
+func (g *Gauge) InFlight() int64 { return g.inFlight.Load() }
+
+// SetLoad keeps a hint.
+func (g *Gauge) SetLoad(load Load, at time.Time) { g.load.Store(&timedLoad{load: load, at: at}) }
+
+// Load returns the last hint and when it came; the time is zero if none did.
+func (g *Gauge) Load() (Load, time.Time) {
+	t := g.load.Load()
+	if t == nil {
+		return Load{}, time.Time{}
+	}
+	return t.load, t.at
+}
+
+// Observe smooths a latency into the gauge.
+func (g *Gauge) Observe(latency time.Duration, now time.Time) {
+	g.latencyAt.Store(now.UnixNano())
+	for {
+		old := g.latency.Load()
+		next := int64(latency)
+		if old != 0 {
+			next = old + int64(LatencySmoothing*float64(int64(latency)-old))
+		}
+		if g.latency.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Latency returns the smoothed latency, or zero if none was observed. It fades while
+// nothing is observed, so that a backend server that was slow is tried again.
+func (g *Gauge) Latency(now time.Time) time.Duration {
+	latency := float64(g.latency.Load())
+	age := float64(now.UnixNano() - g.latencyAt.Load())
+	if latency == 0 || age <= 0 {
+		return time.Duration(latency)
+	}
+	return time.Duration(latency * math.Exp2(-age/float64(LatencyHalfLife)))
+}
+
+// ObserveStatus smooths whether an answer was an error of the backend server into the gauge.
+func (g *Gauge) ObserveStatus(failed bool, now time.Time) {
+	g.errorAt.Store(now.UnixNano())
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	for {
+		old := g.errorShare.Load()
+		was := math.Float64frombits(old)
+		next := was + LatencySmoothing*(share-was)
+		if g.errorShare.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// ErrorShare returns the smoothed share of errors among the answers. It fades like Latency.
+func (g *Gauge) ErrorShare(now time.Time) float64 {
+	share := math.Float64frombits(g.errorShare.Load())
+	age := float64(now.UnixNano() - g.errorAt.Load())
+	if share == 0 || age <= 0 {
+		return share
+	}
+	return share * math.Exp2(-age/float64(ErrorHalfLife))
+}
+
+// Fail keeps the backend server back for a time that doubles with each failure in a row.
+func (g *Gauge) Fail(now time.Time) {
+	n := min(g.failures.Add(1), 4)
+	g.suspectUntil.Store(now.Add(ServerFailurePenalty << (n - 1) / 2).UnixNano())
+}
+
+// Succeed ends a row of failures.
+func (g *Gauge) Succeed() {
+	if g.failures.Load() == 0 {
+		return
+	}
+	g.failures.Store(0)
+	g.suspectUntil.Store(0)
+}
+
+// Suspect reports whether the backend server is held back.
+func (g *Gauge) Suspect(now time.Time) bool { return now.UnixNano() < g.suspectUntil.Load() }
+
+// Candidate is a backend server that a request may be sent to.
+type Candidate struct {
+	Node             string
+	Region           string
+	AvailabilityZone string
+	PeerAddress      netip.AddrPort
+	Incarnation      uint64
+	Slots            uint32
+	Gauge            *Gauge
+}
+
+// Snapshot is everything that the traffic goroutines may know of the control state.
+// It is immutable but for the gauges.
+type Snapshot struct {
+	Self          Member
+	Configuration *Configuration
+	Router        Router
+	Candidates    map[string][]*Candidate
+	Draining      bool
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,120 @@
+package eelgrasspoint
+
+import (
+	"net/http"
+	"time"
+)
+
+//go:generate stringer -type=Outcome,Reason,AttemptState -output=outcome_string.go
+
+// Outcome tells a caller what became of its request.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	Answered Outcome = iota
+	NotRun
+	MayHaveRun
+)
+
+// Reason says why the system refused or gave up a request.
+type Reason int
+
+// Reasons of refusals and failures.
+const (
+	NoReason Reason = iota
+	NoRoute
+	WrongRegion
+	NoServer
+	Overloaded
+	DeadlinePassed
+	Draining
+	ZoneOutOfService
+	Quarantined
+	ServerUnreachable
+	BadHeader
+	HeaderTooLarge
+	BodyTooLarge
+	BodyCutShort
+	TooDeep
+	ConnectionLost
+	TimedOut
+	Canceled
+	KeyInDoubt
+	KeyAlreadyUsed
+	LinkBudget
+	StaleRoute
+	StaleNode
+)
+
+// AttemptState is how far one attempt has come.
+type AttemptState int
+
+// States of an attempt, in order.
+const (
+	AttemptNotSent AttemptState = iota
+	AttemptSent
+	AttemptAdmitted
+	AttemptAnswering
+	AttemptDone
+)
+
+// Status returns the HTTP status that goes with an outcome and its reason.
+func Status(outcome Outcome, reason Reason) int {
+	if outcome == MayHaveRun {
+		if reason == TimedOut {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch reason {
+	case NoRoute:
+		return http.StatusNotFound
+	case WrongRegion:
+		return http.StatusMisdirectedRequest
+	case BadHeader, HeaderTooLarge, BodyCutShort:
+		return http.StatusBadRequest
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case TooDeep:
+		return http.StatusLoopDetected
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Final reports whether a refusal for the reason stands at every other backend server too.
+func (r Reason) Final() bool {
+	switch r {
+	case NoRoute, WrongRegion, BadHeader, HeaderTooLarge, BodyTooLarge, BodyCutShort,
+		TooDeep, Quarantined, DeadlinePassed, Canceled, KeyInDoubt, KeyAlreadyUsed:
+		return true
+	default:
+		return false
+	}
+}
+
+// ParseReason returns the reason with the name, or NoReason.
+func ParseReason(name string) Reason {
+	for r := NoReason; r <= StaleNode; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return NoReason
+}
+
+// ParseOutcome returns the outcome with the name and whether there is one.
+func ParseOutcome(name string) (Outcome, bool) {
+	for o := Answered; o <= MayHaveRun; o++ {
+		if o.String() == name {
+			return o, true
+		}
+	}
+	return NotRun, false
+}
+
+// Remaining returns the time from now to the deadline, never below zero.
+func Remaining(deadline, now time.Time) time.Duration {
+	return max(0, deadline.Sub(now))
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,43 @@
+package eelgrasspoint
+
+import "context"
+
+// Row is one row of the table service. Version is zero for a row that does not exist.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// Condition requires a row to be at a version; zero requires that it does not exist.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Write sets a row, or deletes it if Delete is set.
+type Write struct {
+	Key    string
+	Value  []byte
+	Delete bool
+}
+
+// Transaction is a set of writes that take effect together if every condition holds.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+}
+
+// Table is the platform's table service. Reads fail with *NotFoundError or *UnavailableError;
+// Commit fails with *ConflictError, *UnavailableError or, after a lost answer, *UnknownOutcomeError.
+type Table interface {
+	Read(ctx context.Context, key string) (Row, error)
+	Scan(ctx context.Context, prefix string) ([]Row, error)
+	Commit(ctx context.Context, transaction Transaction) error
+}
+
+// ObjectStore is the platform's object store, with the errors of Table.
+type ObjectStore interface {
+	Get(ctx context.Context, key string) (Row, error)
+	Put(ctx context.Context, key string, value []byte, version uint64) error
+}
--- /dev/null
+++ b/protocol/labeler/labeler.go
@@ -0,0 +1,115 @@
+// Package labeler writes and reads the headers that nodes put on requests and answers.
+package labeler
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"eelgrasspoint"
+)
+
+// Label is what a node says to another about a request.
+type Label struct {
+	RequestID   string
+	Client      string
+	Route       string
+	Permitted   []string
+	Depth       int
+	Fingerprint uint64
+	Remaining   time.Duration
+	Attempt     int
+}
+
+// nodeHeaders are spoken between nodes and taken off everything else.
+var nodeHeaders = []string{
+	eelgrasspoint.HeaderReason, eelgrasspoint.HeaderLoad, eelgrasspoint.HeaderRoute,
+	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
+	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderFrom,
+}
+
+// Strip removes the headers that only nodes may set.
+func Strip(header http.Header) {
+	for _, name := range nodeHeaders {
+		delete(header, name)
+	}
+}
+
+// Write puts the label of the meta on a request.
+func Write(header http.Header, meta *eelgrasspoint.Meta, now time.Time) {
+	header[eelgrasspoint.HeaderRoute] = []string{meta.Route}
+	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
+	header[eelgrasspoint.HeaderFingerprint] = []string{strconv.FormatUint(meta.Fingerprint, 16)}
+	header[eelgrasspoint.HeaderAttempt] = []string{strconv.Itoa(meta.Attempt)}
+	if meta.Bound() {
+		header[eelgrasspoint.HeaderPermitted] = []string{strings.Join(meta.Permitted, ",")}
+	}
+	if meta.Client != "" {
+		header[eelgrasspoint.HeaderClient] = []string{meta.Client}
+	}
+	WriteCall(header, meta, now)
+}
+
+// WriteCall puts on a request what a backend server passes on when it calls others.
+func WriteCall(header http.Header, meta *eelgrasspoint.Meta, now time.Time) {
+	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
+	header[eelgrasspoint.HeaderDepth] = []string{strconv.Itoa(meta.Depth)}
+	header[eelgrasspoint.HeaderTimeout] = []string{eelgrasspoint.Remaining(meta.Deadline, now).String()}
+}
+
+// Read returns the label of a request from another node.
+func Read(header http.Header) (Label, error) {
+	label := Label{
+		RequestID: header.Get(eelgrasspoint.HeaderRequestID),
+		Client:    header.Get(eelgrasspoint.HeaderClient),
+		Route:     header.Get(eelgrasspoint.HeaderRoute),
+	}
+	var err error
+	if label.Depth, err = strconv.Atoi(header.Get(eelgrasspoint.HeaderDepth)); err != nil {
+		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderDepth, err)
+	}
+	if label.Attempt, err = strconv.Atoi(header.Get(eelgrasspoint.HeaderAttempt)); err != nil {
+		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderAttempt, err)
+	}
+	if label.Fingerprint, err = strconv.ParseUint(header.Get(eelgrasspoint.HeaderFingerprint), 16, 64); err != nil {
+		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderFingerprint, err)
+	}
+	if label.Remaining, err = time.ParseDuration(header.Get(eelgrasspoint.HeaderTimeout)); err != nil {
+		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderTimeout, err)
+	}
+	if permitted := header.Get(eelgrasspoint.HeaderPermitted); permitted != "" {
+		label.Permitted = strings.Split(permitted, ",")
+	}
+	return label, nil
+}
+
+// WriteLoad puts a load hint on an answer and returns its bytes.
+func WriteLoad(header http.Header, load eelgrasspoint.Load) int {
+	b := make([]byte, 0, 16)
+	b = strconv.AppendUint(b, uint64(load.InUse), 10)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, uint64(load.Limit), 10)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, uint64(load.Queued), 10)
+	header[eelgrasspoint.HeaderLoad] = []string{string(b)}
+	return len(eelgrasspoint.HeaderLoad) + len(b)
+}
+
+// ReadLoad returns the load hint of an answer and whether there was one.
+func ReadLoad(header http.Header) (eelgrasspoint.Load, bool) {
+	parts := strings.Split(header.Get(eelgrasspoint.HeaderLoad), "/")
+	if len(parts) != 3 {
+		return eelgrasspoint.Load{}, false
+	}
+	var numbers [3]uint32
+	for i, part := range parts {
+		n, err := strconv.ParseUint(part, 10, 32)
+		if err != nil {
+			return eelgrasspoint.Load{}, false
+		}
+		numbers[i] = uint32(n)
+	}
+	return eelgrasspoint.Load{InUse: numbers[0], Limit: numbers[1], Queued: numbers[2]}, true
+}
--- /dev/null
+++ b/protocol/refuser/refuser.go
@@ -0,0 +1,40 @@
+// Package refuser writes the answers that the system itself makes.
+package refuser
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"eelgrasspoint"
+)
+
+// Refusal is the body of an answer that the system itself makes.
+type Refusal struct {
+	Outcome   string
+	Reason    string
+	RequestID string `json:"RequestId"`
+	Detail    string `json:",omitempty"`
+}
+
+// Write answers with the outcome and the reason of the error.
+func Write(w http.ResponseWriter, requestID string, err *eelgrasspoint.OutcomeError) {
+	body, _ := json.Marshal(Refusal{
+		Outcome:   err.Outcome.String(),
+		Reason:    err.Reason.String(),
+		RequestID: requestID,
+		Detail:    err.Detail,
+	})
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(eelgrasspoint.HeaderOutcome, err.Outcome.String())
+	header.Set(eelgrasspoint.HeaderRequestID, requestID)
+	status := eelgrasspoint.Status(err.Outcome, err.Reason)
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(eelgrasspoint.RefusalRetryAfter.Seconds()))))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,104 @@
+package eelgrasspoint
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// Meta is what the system knows of a request besides its HTTP form.
+type Meta struct {
+	RequestID   string
+	Client      string
+	Route       string
+	Service     string
+	Kind        string
+	Weight      uint32
+	Idempotent  bool
+	Hedge       bool
+	Depth       int
+	Deadline    time.Time
+	Permitted   []string
+	Key         string
+	Fingerprint uint64
+	Attempt     int
+}
+
+// Bound reports whether the request is bound to home regions.
+func (m *Meta) Bound() bool { return len(m.Permitted) > 0 }
+
+// Permits reports whether the request may be served and stored in the region.
+func (m *Meta) Permits(region string) bool {
+	if !m.Bound() {
+		return true
+	}
+	for _, r := range m.Permitted {
+		if r == region {
+			return true
+		}
+	}
+	return false
+}
+
+// SetRoute copies what a route says of its requests.
+func (m *Meta) SetRoute(route *Route) {
+	m.Route = route.Name
+	m.Service = route.Service
+	m.Kind = route.Kind
+	m.Weight = route.Weight
+	m.Idempotent = route.Idempotent
+	m.Hedge = route.Hedge
+}
+
+// Attempt is one sending of a request to one backend server.
+type Attempt struct {
+	Meta   Meta
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64
+}
+
+// Answer is a backend server's answer, with the load hint that rode on it.
+type Answer struct {
+	Response *http.Response
+	Load     Load
+	HasLoad  bool
+	ServedBy string
+}
+
+// Carrier takes an attempt to a backend server. An error is always an *OutcomeError.
+type Carrier interface {
+	Carry(ctx context.Context, candidate *Candidate, attempt *Attempt) (*Answer, error)
+}
+
+// Router finds the route of a request.
+type Router interface {
+	// Match returns the route of a request, or nil.
+	Match(host, path, method string) *Route
+	// Route returns the route with the name, or nil.
+	Route(name string) *Route
+	// Permitted returns the regions that a request of the client on the route is bound to,
+	// and whether there is any. No region and true means that it is not bound.
+	Permitted(route *Route, client string) (regions []string, lawful bool)
+}
+
+// Need is what a choice has to meet.
+type Need struct {
+	Region           string
+	AvailabilityZone string
+	Self             string
+	Meta             *Meta
+	Tried            []*Candidate
+	SpillAllowed     bool
+}
+
+// Chooser picks a candidate, or nil. Implementations are pure: they take the time and the
+// random source as arguments and do no I/O.
+type Chooser interface {
+	Choose(candidates []*Candidate, need *Need, now time.Time, random *rand.Rand) *Candidate
+}
--- /dev/null
+++ b/runner/platform.go
@@ -0,0 +1,159 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
+)
+
+// memberPrefix begins the keys of the rows by which nodes find each other.
+const memberPrefix = "member/"
+
+// joinRetry bounds the pause between two tries to find other nodes.
+const joinRetry = 5 * time.Second
+
+// join looks for other nodes at the addresses in the settings and in the table service, in
+// any combination that happens to be up, until it has found one or is known to be the first.
+func (r *Runner) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.askPeers(ctx)
+		scanned := r.scanMembers(ctx)
+		r.catchUp(ctx)
+		if r.writeRow(ctx) == nil && scanned {
+			break
+		}
+		r.sleep(ctx, joinRetry)
+	}
+	r.keepRow(ctx)
+}
+
+// askPeers syncs with the nodes of the settings.
+func (r *Runner) askPeers(ctx context.Context) {
+	for _, address := range r.settings.Peers {
+		if address == r.settings.PeerAddress {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
+		m := eelgrasspoint.Member{PeerAddress: address}
+		r.observer.Sync(ctx, m)
+		r.observer.Pull(ctx, m, r.revision())
+		cancel()
+	}
+}
+
+// scanMembers learns the rows that other nodes wrote. A row that does not parse is left out.
+func (r *Runner) scanMembers(ctx context.Context) bool {
+	rows, err := r.historian.Members(ctx, memberPrefix)
+	if err != nil {
+		r.storeDown(err)
+		return false
+	}
+	var members []eelgrasspoint.Member
+	for _, row := range rows {
+		member, err := parseRow(row.Value)
+		if err != nil {
+			r.record(eelgrasspoint.EventBadInput, "row "+row.Key+": "+err.Error())
+			continue
+		}
+		members = append(members, member)
+	}
+	r.controller.Do(controller.Learn{Members: members})
+	return true
+}
+
+func parseRow(value []byte) (eelgrasspoint.Member, error) {
+	var message schema.Member
+	if err := protojson.Unmarshal(value, &message); err != nil {
+		return eelgrasspoint.Member{}, err
+	}
+	return translator.Member(&message)
+}
+
+func (r *Runner) writeRow(ctx context.Context) error {
+	value, err := protojson.Marshal(translator.MemberMessage(r.controller.View().Self))
+	if err != nil {
+		return err
+	}
+	err = r.historian.PutMember(ctx, memberPrefix+r.settings.Name, value)
+	if err != nil {
+		r.storeDown(err)
+	}
+	return err
+}
+
+// keepRow renews the node's row at long intervals, so that rows of nodes that are gone can
+// be told by their age.
+func (r *Runner) keepRow(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.sleep(ctx, eelgrasspoint.StoreRowInterval)
+		_ = r.writeRow(ctx)
+	}
+}
+
+// poll is the safety net under the news from peers.
+func (r *Runner) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.sleep(ctx, eelgrasspoint.PollInterval)
+		r.catchUp(ctx)
+	}
+}
+
+// catchUp puts the newest committed revision in force. A stale read changes nothing.
+func (r *Runner) catchUp(ctx context.Context) {
+	head, err := r.historian.Head(ctx)
+	if err != nil {
+		r.storeDown(err)
+		return
+	}
+	r.storeBack()
+	own := *r.controller.Configuration()
+	if head.Revision <= own.Revision {
+		return
+	}
+	configuration, changes, replaced, err := r.historian.Load(ctx, own, head)
+	if err != nil {
+		r.storeDown(err)
+		return
+	}
+	if replaced {
+		r.controller.Do(controller.Replace{Configuration: configuration})
+		return
+	}
+	r.controller.Do(controller.Adopt{Changes: changes})
+}
+
+func (r *Runner) storeDown(err error) {
+	if !r.storeIsDown.Swap(true) {
+		r.record(eelgrasspoint.EventStoreDown, err.Error())
+	}
+}
+
+func (r *Runner) storeBack() {
+	if r.storeIsDown.Swap(false) {
+		r.record(eelgrasspoint.EventStoreBack, "")
+	}
+}
+
+// pull fetches what this node lacks from a peer that has more.
+func (r *Runner) pull(m eelgrasspoint.Member, after uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.HeartbeatTimeout)
+	defer cancel()
+	r.observer.Pull(ctx, m, after)
+}
+
+// sleep waits between half and one and a half times the interval, so that nodes which
+// started together do not call together.
+func (r *Runner) sleep(ctx context.Context, interval time.Duration) {
+	jittered := interval/2 + time.Duration(rand.Int64N(int64(interval)))
+	select {
+	case <-ctx.Done():
+	case <-time.After(jittered):
+	}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,253 @@
+// Package runner puts a node together and runs it until it is told to stop.
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/admitter"
+	"eelgrasspoint/coordination/chooser"
+	"eelgrasspoint/coordination/committer"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/exchanger"
+	"eelgrasspoint/coordination/executor"
+	"eelgrasspoint/coordination/forwarder"
+	"eelgrasspoint/coordination/limiter"
+	"eelgrasspoint/coordination/observer"
+	"eelgrasspoint/coordination/operator"
+	"eelgrasspoint/coordination/quarantiner"
+	"eelgrasspoint/coordination/reporter"
+	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/protocol/announcer"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/state/budgeter"
+	"eelgrasspoint/state/historian"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/state/loader"
+	"eelgrasspoint/state/meter"
+	"eelgrasspoint/state/recorder"
+	"eelgrasspoint/transport/answerer"
+	"eelgrasspoint/transport/caller"
+	"eelgrasspoint/transport/dialer"
+)
+
+// Runner is one node.
+type Runner struct {
+	options    Options
+	settings   *loader.Settings
+	control    *dialer.Dialer
+	holder     *holder.Holder
+	recorder   *recorder.Recorder
+	meter      *meter.Meter
+	admitter   *admitter.Admitter
+	quarantine *quarantiner.Quarantiner
+	executor   *executor.Executor
+	controller *controller.Controller
+	observer   *observer.Observer
+	historian  *historian.Historian
+	committer  *committer.Committer
+	link       *budgeter.Budgeter
+	measuring  *budgeter.Budgeter
+	peers      *caller.Caller
+	client     *http.Client
+	servers    servers
+
+	storeIsDown atomic.Bool
+}
+
+// Options are what a node is given from outside, so that a test can give something else.
+type Options struct {
+	Settings *loader.Settings
+	Table    func(count func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore)
+	Dial     dialer.Func
+	Listen   func(network, address string) (net.Listener, error)
+	Log      logrus.FieldLogger
+	Clock    eelgrasspoint.Clock
+	Seed     uint64
+	Chooser  eelgrasspoint.Chooser
+	Limiter  eelgrasspoint.Limiter
+}
+
+// New wires a node:
+//
+//	callers -> forwarder -> executor -> backend server
+//	               |            ^
+//	               v            |
+//	     caller -> (peers) -> answerer
+//
+//	backend server -> announcer -> controller <- observer, exchanger <- peers
+//	operators      -> operator -> committer -> historian -> platform
+//	                  controller -> holder -> forwarder, executor, answerer
+func New(options Options) *Runner {
+	r := &Runner{options: options, settings: options.Settings}
+	r.control = dialer.New(options.Dial)
+	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
+	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
+	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.aliveMembers})
+	r.link = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
+	r.measuring = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
+	r.buildTraffic()
+	r.buildControl()
+	r.servers = r.buildServers()
+	return r
+}
+
+func (r *Runner) buildTraffic() {
+	clock := r.options.Clock
+	limit := r.options.Limiter
+	if limit == nil {
+		limit = limiter.New(eelgrasspoint.DefaultSlots)
+	}
+	r.admitter = admitter.New(limit, clock)
+	r.quarantine = quarantiner.New(clock)
+	r.client = &http.Client{Transport: caller.NewTransport(r.control.DialContext)}
+	r.executor = executor.New(executor.Options{
+		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantine, Recorder: r.recorder,
+		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash,
+	})
+	r.peers = caller.New(r.options.Dial, r.settings.Region, clock)
+}
+
+func (r *Runner) buildControl() {
+	clock := r.options.Clock
+	r.controller = controller.New(controller.Options{
+		Self: eelgrasspoint.Member{
+			Name: r.settings.Name, Region: r.settings.Region, AvailabilityZone: r.settings.AvailabilityZone,
+			PeerAddress: r.settings.PeerAddress, Incarnation: uint64(clock().UnixNano()),
+		},
+		Holder: r.holder, Recorder: r.recorder, Clock: clock,
+		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
+	})
+	r.observer = observer.New(observer.Options{
+		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
+		Witness: r.recorder.Witness, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.Refresh,
+	})
+	r.historian = historian.New(r.options.Table(r.meter.StoreCall))
+	r.committer = committer.New(committer.Options{
+		Node: r.settings.Name, Controller: r.controller, Historian: r.historian, Recorder: r.recorder, Clock: clock,
+	})
+}
+
+func (r *Runner) buildServers() servers {
+	return newServers(handlers{
+		callers: forwarder.New(forwarder.Options{
+			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(), Link: r.link, Peers: r.peers,
+			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
+			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
+		}),
+		attempts: answerer.New(answerer.Options{
+			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
+			Measuring: r.measuring, Count: r.meter.Measuring,
+		}),
+		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
+			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Witness: r.recorder.Witness,
+			Now: r.recorder.Now, Pull: r.pull, Events: r.events, Crashed: r.crashed,
+		})),
+		operators: schema.NewOperatorsServer(operator.New(operator.Options{
+			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
+			Client: r.client, Load: r.load, Events: r.events, Clock: r.options.Clock,
+		})),
+		announce: announcer.New(r.announce, r.recorder),
+		metrics:  promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
+	})
+}
+
+// Run serves until the context ends, then stops without cutting off what is in flight.
+func (r *Runner) Run(ctx context.Context) error {
+	if err := r.servers.listen(r.options.Listen, r.settings); err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.record(eelgrasspoint.EventNodeStarted, r.settings.PeerAddress.String())
+	go r.controller.Run(background)
+	go r.observer.Run(background)
+	go r.join(background)
+	go r.poll(background)
+	failed := r.servers.serve()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return r.stop()
+	}
+}
+
+func (r *Runner) chooser() eelgrasspoint.Chooser {
+	if r.options.Chooser != nil {
+		return r.options.Chooser
+	}
+	return chooser.New()
+}
+
+func (r *Runner) random() *rand.Rand { return eelgrasspoint.NewRandom(r.options.Seed) }
+
+func (r *Runner) load() eelgrasspoint.Load { return r.admitter.Load() }
+
+func (r *Runner) revision() uint64 { return r.holder.Load().Configuration.Revision }
+
+func (r *Runner) aliveMembers() int {
+	n := 0
+	for _, m := range r.controller.View().Members {
+		if m.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
+	r.controller.Do(controller.Announce{Backend: backend})
+}
+
+func (r *Runner) reportCrash(crash executor.Crash) {
+	reporter.New(r.controller, r.client).Report(crash)
+}
+
+func (r *Runner) crashed(crash string, fingerprints []uint64, withdrawn bool) {
+	if withdrawn {
+		r.quarantine.Forget(crash, fingerprints)
+		return
+	}
+	r.quarantine.Crash(crash, fingerprints)
+}
+
+func (r *Runner) events(request *schema.TimelineRequest) []eelgrasspoint.Event {
+	var found []eelgrasspoint.Event
+	for _, event := range r.recorder.Events(time.Unix(0, int64(request.GetAfterWall()))) {
+		if operator.Filter(event, request) {
+			found = append(found, event)
+		}
+	}
+	if over := len(found) - eelgrasspoint.MaxEventsAnswered; over > 0 {
+		found = found[over:]
+	}
+	return found
+}
+
+// setBudgets shares the budget of the link among the nodes of the region.
+func (r *Runner) setBudgets(document *eelgrasspoint.Document, nodesInRegion int) {
+	link, measuring := uint32(eelgrasspoint.LinkBytesPerSecond), uint32(eelgrasspoint.MeasuringBytesPerSecond)
+	for _, budget := range document.Budgets {
+		switch budget.Name {
+		case eelgrasspoint.BudgetLink:
+			link = budget.BytesPerSecond
+		case eelgrasspoint.BudgetMeasuring:
+			measuring = budget.BytesPerSecond
+		}
+	}
+	r.link.SetRate(link / uint32(max(nodesInRegion, 1)))
+	r.measuring.SetRate(measuring)
+}
+
+func (r *Runner) record(number eelgrasspoint.EventNumber, detail string) {
+	r.recorder.Record(eelgrasspoint.Event{Number: number, AvailabilityZone: r.settings.AvailabilityZone, Detail: detail})
+}
--- /dev/null
+++ b/runner/servers.go
@@ -0,0 +1,128 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/state/loader"
+	"eelgrasspoint/transport/answerer"
+)
+
+// Bounds of the servers.
+const (
+	readHeaderTimeout   = 10 * time.Second
+	callerIdleTimeout   = 2 * time.Minute
+	serverHeaderBytes   = 4 * eelgrasspoint.MaxHeaderBytes
+	peerPingAfter       = 15 * time.Second
+	announcePath        = "/backend-server"
+	metricsPath         = "/metrics"
+	connectionWindow    = 4 * eelgrasspoint.PeerWindowBytes
+	callerStreamsAtOnce = 250
+)
+
+// handlers are what the three servers serve.
+type handlers struct {
+	callers, attempts, exchange, operators, announce, metrics http.Handler
+}
+
+// servers are the node's three listening sides.
+type servers struct {
+	callers, peers, control       *http.Server
+	callersOn, peersOn, controlOn net.Listener
+}
+
+func newServers(h handlers) servers {
+	return servers{
+		callers: callerServer(h.callers),
+		peers:   peerServer(h.attempts, h.exchange),
+		control: controlServer(h),
+	}
+}
+
+// callerServer speaks HTTP/1.1 and HTTP/2 without TLS.
+func callerServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: handler, Protocols: protocols, MaxHeaderBytes: serverHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: callerStreamsAtOnce, SendPingTimeout: peerPingAfter,
+			MaxReceiveBufferPerConnection: connectionWindow, MaxReceiveBufferPerStream: eelgrasspoint.PeerWindowBytes,
+		},
+	}
+}
+
+// peerServer takes attempts and the exchange, told apart by a header that only nodes set.
+func peerServer(attempts, exchange http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if answerer.IsAttempt(r) {
+			attempts.ServeHTTP(w, r)
+			return
+		}
+		exchange.ServeHTTP(w, r)
+	})
+	return &http.Server{
+		Handler: handler, Protocols: protocols, MaxHeaderBytes: serverHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: 2 * eelgrasspoint.PeerIdleTime,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: eelgrasspoint.PeerStreams, SendPingTimeout: peerPingAfter,
+			MaxReceiveBufferPerConnection: connectionWindow, MaxReceiveBufferPerStream: eelgrasspoint.PeerWindowBytes,
+		},
+	}
+}
+
+func controlServer(h handlers) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(schema.OperatorsPathPrefix, h.operators)
+	mux.Handle(announcePath, h.announce)
+	mux.Handle(metricsPath, h.metrics)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
+func (s *servers) listen(listen func(network, address string) (net.Listener, error), settings *loader.Settings) error {
+	var err error
+	if s.callersOn, err = listen("tcp", settings.CallerAddress.String()); err != nil {
+		return trace.Wrap(err, "CallerAddress %v", settings.CallerAddress)
+	}
+	if s.peersOn, err = listen("tcp", settings.PeerAddress.String()); err != nil {
+		return trace.Wrap(err, "PeerAddress %v", settings.PeerAddress)
+	}
+	if s.controlOn, err = listen("tcp", settings.ControlAddress.String()); err != nil {
+		return trace.Wrap(err, "ControlAddress %v", settings.ControlAddress)
+	}
+	return nil
+}
+
+// serve starts all three and returns where the first failure arrives.
+func (s *servers) serve() <-chan error {
+	failed := make(chan error, 3)
+	start := func(server *http.Server, listener net.Listener) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}
+	go start(s.callers, s.callersOn)
+	go start(s.peers, s.peersOn)
+	go start(s.control, s.controlOn)
+	return failed
+}
+
+// shutdown waits for what is in flight: first the callers, whose requests may need the peers.
+func (s *servers) shutdown(ctx context.Context) error {
+	return trace.NewAggregate(
+		s.callers.Shutdown(ctx),
+		s.peers.Shutdown(ctx),
+		s.control.Shutdown(ctx),
+	)
+}
--- /dev/null
+++ b/runner/stop.go
@@ -0,0 +1,26 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+)
+
+// stop says that the node leaves, lets the others learn it, finishes what is in flight and
+// closes.
+func (r *Runner) stop() error {
+	r.record(eelgrasspoint.EventNodeStopping, "")
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout)
+	defer cancel()
+	left := make(chan struct{})
+	r.controller.Do(controller.Leave{Done: left})
+	<-left
+	r.observer.Flush(ctx)
+	go func() { _ = r.historian.DeleteMember(ctx, memberPrefix+r.settings.Name) }()
+	time.Sleep(eelgrasspoint.StopNoticeTime)
+	err := r.servers.shutdown(ctx)
+	r.record(eelgrasspoint.EventNodeStopped, "")
+	return err
+}
--- /dev/null
+++ b/standin/backend/announce.go
@@ -0,0 +1,49 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Announcement is what a backend server says of itself to the node beside it.
+type Announcement struct {
+	Service     string
+	Address     netip.AddrPort
+	Incarnation uint64
+	Slots       int
+	Connections int
+	Draining    bool
+}
+
+// announceInterval is the time between two announcements.
+const announceInterval = 500 * time.Millisecond
+
+// Announce tells the node until the context ends, then says that the backend server leaves.
+func Announce(ctx context.Context, client *http.Client, control netip.AddrPort, a Announcement) {
+	url := "http://" + control.String() + "/backend-server"
+	for ctx.Err() == nil {
+		body, _ := json.Marshal(a)
+		call(ctx, client, http.MethodPut, url, body)
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceInterval):
+		}
+	}
+	call(context.WithoutCancel(ctx), client, http.MethodDelete, url, nil)
+}
+
+func call(ctx context.Context, client *http.Client, method, url string, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,182 @@
+// Package backend stands in for a backend server in tests.
+package backend
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Backend is an http.Handler that counts the runs of every request identifier. It answers
+// after its service time: the request's body, or as many bytes as the query Bytes asks for.
+type Backend struct {
+	service string
+	slots   chan struct{}
+	crash   func()
+
+	mu        sync.Mutex
+	behavior  Behavior
+	runs      map[string]int
+	inUse     int
+	maxInUse  int
+	startedAt time.Time
+}
+
+// Behavior is what the stand-in can be told to do.
+type Behavior struct {
+	// ServiceTime is the time of a run when the backend server is warm.
+	ServiceTime time.Duration
+	// ColdTime is how long after the start a run takes ColdFactor times as long.
+	ColdTime   time.Duration
+	ColdFactor float64
+	// Full makes it shed every request.
+	Full bool
+	// FailFast makes it answer every request with an error at once.
+	FailFast bool
+	// TruncateAfter breaks off every answer after so many bytes, unless zero.
+	TruncateAfter int
+}
+
+// HeaderCrash on a request makes the backend server crash while it runs it.
+const HeaderCrash = "Standin-Crash"
+
+// New returns a backend server with the slots; crash ends its process.
+func New(service string, slots int, behavior Behavior, crash func()) *Backend {
+	return &Backend{
+		service: service, slots: make(chan struct{}, slots), crash: crash,
+		behavior: behavior, runs: make(map[string]int), startedAt: time.Now(),
+	}
+}
+
+// SetBehavior replaces the behavior.
+func (b *Backend) SetBehavior(behavior Behavior) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behavior = behavior
+}
+
+// Restart makes it cold again, without a word to anybody.
+func (b *Backend) Restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startedAt = time.Now()
+}
+
+// Runs returns how often each request identifier was run.
+func (b *Backend) Runs() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	runs := make(map[string]int, len(b.runs))
+	for id, n := range b.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// MaxInUse returns the most requests that ran at once.
+func (b *Backend) MaxInUse() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.maxInUse
+}
+
+// ServeHTTP implements http.Handler.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	behavior, took := b.begin(r.Header.Get("Eelgrass-Request-Id"))
+	defer b.end()
+	if r.Header.Get(HeaderCrash) != "" {
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if behavior.Full || behavior.FailFast {
+		w.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusInternalServerError}[behavior.Full])
+		return
+	}
+	if !b.work(r, took) {
+		return
+	}
+	w.Header().Set("Standin-Service", b.service)
+	b.answer(w, r, behavior)
+}
+
+// ServeControl lets another process set the behavior and read the runs.
+func (b *Backend) ServeControl(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		_ = json.NewEncoder(w).Encode(struct {
+			Runs     map[string]int
+			MaxInUse int
+		}{b.Runs(), b.MaxInUse()})
+		return
+	}
+	var behavior Behavior
+	if err := json.NewDecoder(r.Body).Decode(&behavior); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.SetBehavior(behavior)
+}
+
+func (b *Backend) begin(id string) (Behavior, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	b.inUse++
+	b.maxInUse = max(b.maxInUse, b.inUse)
+	took := b.behavior.ServiceTime
+	if time.Since(b.startedAt) < b.behavior.ColdTime {
+		took = time.Duration(float64(took) * b.behavior.ColdFactor)
+	}
+	return b.behavior, took
+}
+
+func (b *Backend) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inUse--
+}
+
+// work takes a slot for the service time, unless the caller goes away.
+func (b *Backend) work(r *http.Request, took time.Duration) bool {
+	select {
+	case b.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return false
+	}
+	defer func() { <-b.slots }()
+	if took == 0 {
+		return true
+	}
+	select {
+	case <-time.After(took):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, behavior Behavior) {
+	if behavior.TruncateAfter > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(2*behavior.TruncateAfter))
+		_, _ = w.Write(make([]byte, behavior.TruncateAfter))
+		return
+	}
+	if n, err := strconv.ParseInt(r.URL.Query().Get("Bytes"), 10, 64); err == nil {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+		_, _ = io.CopyN(w, pattern{}, n)
+		return
+	}
+	_, _ = io.Copy(w, r.Body)
+}
+
+// pattern is an endless body.
+type pattern struct{}
+
+func (pattern) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(i)
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/standin/cmd/backend/main.go
@@ -0,0 +1,56 @@
+// Command backend runs the stand-in of a backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"eelgrasspoint/standin/backend"
+)
+
+func main() {
+	service, address, node, control := "vitrine", "127.0.0.1:0", "127.0.0.1:7002", "127.0.0.1:0"
+	slots, connections := 13, 260
+	behavior := backend.Behavior{ColdFactor: 1}
+	flaggy.String(&service, "s", "service", "the service that it offers")
+	flaggy.String(&address, "a", "address", "address to listen on")
+	flaggy.String(&node, "n", "node", "control address of the node beside it")
+	flaggy.String(&control, "c", "control", "address of its own control")
+	flaggy.Int(&slots, "", "slots", "requests that it runs at once")
+	flaggy.Duration(&behavior.ServiceTime, "t", "time", "service time")
+	flaggy.Duration(&behavior.ColdTime, "", "cold-time", "how long it is cold")
+	flaggy.Float64(&behavior.ColdFactor, "", "cold-factor", "how much longer a run takes when it is cold")
+	flaggy.Parse()
+	b := backend.New(service, slots, behavior, func() { os.Exit(3) })
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	go serveControl(control, b)
+	server := &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	backend.Announce(ctx, http.DefaultClient, netip.MustParseAddrPort(node), backend.Announcement{
+		Service: service, Address: netip.MustParseAddrPort(listener.Addr().String()),
+		Incarnation: uint64(time.Now().UnixNano()), Slots: slots, Connections: connections,
+	})
+	shutdown, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_ = server.Shutdown(shutdown)
+}
+
+func serveControl(address string, b *backend.Backend) {
+	server := &http.Server{Addr: address, Handler: http.HandlerFunc(b.ServeControl), ReadHeaderTimeout: 10 * time.Second}
+	fmt.Fprintln(os.Stderr, server.ListenAndServe())
+}
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,38 @@
+// Command demo runs the whole path as separate processes on loopback, with the services and
+// availability zones of the Workshop, and checks what callers and operators see.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"eelgrasspoint/standin/cluster"
+)
+
+func main() {
+	bin, examples, keep := "bin", "examples", false
+	flaggy.String(&bin, "b", "bin", "folder of the programs")
+	flaggy.String(&examples, "e", "examples", "folder of the example configurations")
+	flaggy.Bool(&keep, "k", "keep", "leave everything running until it is interrupted")
+	flaggy.Parse()
+	dir, err := os.MkdirTemp("", "eelgrass-demo")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	defer os.RemoveAll(dir)
+	d := &demo{
+		cluster: cluster.New(bin, dir), configuration: filepath.Join(examples, "workshop.json"),
+		began: time.Now(), keep: keep,
+	}
+	failed := d.run()
+	d.cluster.Stop()
+	if failed > 0 {
+		os.RemoveAll(dir)
+		os.Exit(1) //nolint:gocritic // The folder is gone already.
+	}
+}
--- /dev/null
+++ b/state/loader/loader.go
@@ -0,0 +1,126 @@
+// Package loader reads and checks the settings of a node.
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"eelgrasspoint"
+	"eelgrasspoint/state/checker"
+	"eelgrasspoint/state/decoder"
+)
+
+// Settings are what a node is told when it starts.
+type Settings struct {
+	// Name is unique among all nodes.
+	Name             string
+	Cluster          string
+	Region           string
+	AvailabilityZone string
+	// CallerAddress takes requests, PeerAddress other nodes, ControlAddress operators,
+	// the announcements of the backend server and the collection of metrics.
+	CallerAddress  netip.AddrPort
+	PeerAddress    netip.AddrPort
+	ControlAddress netip.AddrPort
+	// Platform is the address of the table service and object store; without it the node
+	// keeps its configuration in memory only.
+	Platform     netip.AddrPort
+	Peers        []netip.AddrPort
+	LogLevel     string
+	MaxBodyBytes int64
+	StopTimeout  time.Duration
+}
+
+// Defaults of settings that may be left out.
+const (
+	defaultCluster      = "eelgrass"
+	defaultLogLevel     = "info"
+	defaultMaxBodyBytes = 256 << 20
+	defaultStopTimeout  = 30 * time.Second
+)
+
+// Load reads a settings file. Mistakes come as *eelgrasspoint.InvalidError, all at once.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return Parse(data)
+}
+
+// Parse reads settings.
+func Parse(data []byte) (*Settings, error) {
+	settings := &Settings{
+		Cluster: defaultCluster, LogLevel: defaultLogLevel,
+		MaxBodyBytes: defaultMaxBodyBytes, StopTimeout: defaultStopTimeout,
+	}
+	var mistakes []eelgrasspoint.Mistake
+	if err := decoder.Decode(data, settings); err != nil {
+		mistakes = append(mistakes, eelgrasspoint.Mistakes(err)...)
+	}
+	mistakes = append(mistakes, withoutRepeats(settings.check(), mistakes)...)
+	if len(mistakes) > 0 {
+		return nil, &eelgrasspoint.InvalidError{Mistakes: mistakes}
+	}
+	return settings, nil
+}
+
+// check looks at each value by itself and at those that must differ.
+func (s *Settings) check() []eelgrasspoint.Mistake {
+	var mistakes []eelgrasspoint.Mistake
+	add := func(path, message string) {
+		mistakes = append(mistakes, eelgrasspoint.Mistake{Path: path, Message: message})
+	}
+	for path, name := range map[string]string{
+		"Name": s.Name, "Cluster": s.Cluster, "Region": s.Region, "AvailabilityZone": s.AvailabilityZone,
+	} {
+		if message := checker.Name(name); message != "" {
+			add(path, message)
+		}
+	}
+	for path, address := range map[string]netip.AddrPort{
+		"CallerAddress": s.CallerAddress, "PeerAddress": s.PeerAddress, "ControlAddress": s.ControlAddress,
+	} {
+		if !address.IsValid() {
+			add(path, "is required, as an IP number and port such as 10.0.0.7:7000")
+		}
+	}
+	if s.PeerAddress.IsValid() && (s.PeerAddress.Addr().IsUnspecified() || s.PeerAddress.Port() == 0) {
+		add("PeerAddress", "must be the address that other nodes reach this one at")
+	}
+	for i, peer := range s.Peers {
+		if !peer.IsValid() {
+			add(fmt.Sprintf("Peers[%d]", i), "must be an IP number and port")
+		}
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		add("LogLevel", "must be one of debug, info, warn, error")
+	}
+	if s.MaxBodyBytes < 1 {
+		add("MaxBodyBytes", "must be at least 1 (bytes)")
+	}
+	if s.StopTimeout <= 0 {
+		add("StopTimeout", "must be above 0s")
+	}
+	return mistakes
+}
+
+// withoutRepeats leaves out what is said already of the same path.
+func withoutRepeats(more, said []eelgrasspoint.Mistake) []eelgrasspoint.Mistake {
+	known := make(map[string]bool, len(said))
+	for _, m := range said {
+		known[m.Path] = true
+	}
+	var rest []eelgrasspoint.Mistake
+	for _, m := range more {
+		if !known[m.Path] {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/state/memorizer/memorizer.go
@@ -0,0 +1,92 @@
+// Package memorizer is a table service and object store in memory, for a node by itself.
+package memorizer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"eelgrasspoint"
+)
+
+// Memorizer is safe for concurrent use.
+type Memorizer struct {
+	mu   sync.Mutex
+	rows map[string]eelgrasspoint.Row
+	next uint64
+}
+
+var (
+	_ eelgrasspoint.Table       = (*Memorizer)(nil)
+	_ eelgrasspoint.ObjectStore = (*Memorizer)(nil)
+)
+
+// objectPrefix keeps objects apart from rows.
+const objectPrefix = "object:"
+
+// New returns an empty memorizer.
+func New() *Memorizer { return &Memorizer{rows: make(map[string]eelgrasspoint.Row)} }
+
+// Read returns a row.
+func (m *Memorizer) Read(_ context.Context, key string) (eelgrasspoint.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[key]
+	if !ok {
+		return eelgrasspoint.Row{}, &eelgrasspoint.NotFoundError{Key: key}
+	}
+	return row, nil
+}
+
+// Scan returns the rows with the prefix, sorted by key.
+func (m *Memorizer) Scan(_ context.Context, prefix string) ([]eelgrasspoint.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rows []eelgrasspoint.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b eelgrasspoint.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows, nil
+}
+
+// Commit makes the writes if all conditions hold.
+func (m *Memorizer) Commit(_ context.Context, transaction eelgrasspoint.Transaction) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, condition := range transaction.Conditions {
+		if version := m.rows[condition.Key].Version; version != condition.Version {
+			return &eelgrasspoint.ConflictError{Key: condition.Key, Version: version}
+		}
+	}
+	for _, write := range transaction.Writes {
+		m.write(write)
+	}
+	return nil
+}
+
+// Get returns an object.
+func (m *Memorizer) Get(ctx context.Context, key string) (eelgrasspoint.Row, error) {
+	return m.Read(ctx, objectPrefix+key)
+}
+
+// Put sets an object that is at the version.
+func (m *Memorizer) Put(ctx context.Context, key string, value []byte, version uint64) error {
+	key = objectPrefix + key
+	return m.Commit(ctx, eelgrasspoint.Transaction{
+		Conditions: []eelgrasspoint.Condition{{Key: key, Version: version}},
+		Writes:     []eelgrasspoint.Write{{Key: key, Value: value}},
+	})
+}
+
+func (m *Memorizer) write(write eelgrasspoint.Write) {
+	if write.Delete {
+		delete(m.rows, write.Key)
+		return
+	}
+	m.next++
+	m.rows[write.Key] = eelgrasspoint.Row{Key: write.Key, Version: m.next, Value: slices.Clone(write.Value)}
+}
--- /dev/null
+++ b/transport/answerer/answerer.go
@@ -0,0 +1,139 @@
+// Package answerer takes the attempts of other nodes and answers them for the backend server
+// beside this one.
+package answerer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/labeler"
+	"eelgrasspoint/protocol/refuser"
+	"eelgrasspoint/state/budgeter"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/transport/relayer"
+)
+
+// Answerer is an http.Handler for attempts. It trusts the entry node for the time that
+// remains, and checks the route, the home regions and the service itself.
+type Answerer struct {
+	Options
+	relayer *relayer.Relayer
+}
+
+// Options are what an answerer depends on.
+type Options struct {
+	Name     string
+	Holder   *holder.Holder
+	Executor eelgrasspoint.Carrier
+	Load     func() eelgrasspoint.Load
+	Clock    eelgrasspoint.Clock
+	// Measuring is the budget of load hints that cross the link to another region.
+	Measuring *budgeter.Budgeter
+	// Count is told of the bytes of load hints, by link.
+	Count func(link string, bytes int)
+}
+
+// New returns an answerer.
+func New(options Options) *Answerer { return &Answerer{Options: options, relayer: relayer.New()} }
+
+// IsAttempt reports whether a request on the nodes' port is an attempt.
+func IsAttempt(r *http.Request) bool { return r.Header.Get(eelgrasspoint.HeaderRoute) != "" }
+
+// ServeHTTP implements http.Handler.
+func (a *Answerer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from := r.Header.Get(eelgrasspoint.HeaderFrom)
+	meta, refusal := a.meta(r)
+	if refusal != nil {
+		a.refuse(w, from, meta.RequestID, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), meta.Deadline)
+	defer cancel()
+	answer, err := a.Executor.Carry(ctx, nil, a.attempt(r, meta))
+	if err != nil {
+		a.refuse(w, from, meta.RequestID, asOutcome(err))
+		return
+	}
+	header := answer.Response.Header
+	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
+	header[eelgrasspoint.HeaderServedBy] = []string{a.Name}
+	a.hint(header, from)
+	a.relayer.Relay(w, answer.Response)
+}
+
+// meta rebuilds what the entry node knew, from its label and this node's own configuration.
+func (a *Answerer) meta(r *http.Request) (*eelgrasspoint.Meta, *eelgrasspoint.OutcomeError) {
+	label, err := labeler.Read(r.Header)
+	meta := &eelgrasspoint.Meta{
+		RequestID: label.RequestID, Client: label.Client, Route: label.Route, Depth: label.Depth,
+		Fingerprint: label.Fingerprint, Attempt: label.Attempt,
+		Deadline: a.Clock().Add(label.Remaining), Permitted: label.Permitted,
+	}
+	if err != nil {
+		return meta, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, err.Error())
+	}
+	snapshot := a.Holder.Load()
+	route := snapshot.Router.Route(label.Route)
+	if route == nil {
+		return meta, eelgrasspoint.Refuse(eelgrasspoint.StaleRoute, "")
+	}
+	meta.SetRoute(route)
+	own, lawful := snapshot.Router.Permitted(route, label.Client)
+	region := snapshot.Self.Region
+	if !lawful || !meta.Permits(region) || len(own) > 0 && !slices.Contains(own, region) {
+		return meta, eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
+	}
+	if !meta.Bound() {
+		meta.Permitted = own
+	}
+	return meta, nil
+}
+
+func (a *Answerer) attempt(r *http.Request, meta *eelgrasspoint.Meta) *eelgrasspoint.Attempt {
+	labeler.Strip(r.Header)
+	r.Header.Del("Expect")
+	return &eelgrasspoint.Attempt{
+		Meta: *meta, Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host,
+		Header: r.Header, Body: r.Body, Length: r.ContentLength,
+	}
+}
+
+// hint puts the present load on an answer. Over the link to another region it goes only
+// within the budget.
+func (a *Answerer) hint(header http.Header, from string) {
+	link := linkLocal
+	if from != a.Holder.Load().Self.Region {
+		link = linkRegion
+		if !a.Measuring.Allows(0) {
+			return
+		}
+	}
+	bytes := labeler.WriteLoad(header, a.Load())
+	if link == linkRegion {
+		a.Measuring.Charge(int64(bytes))
+	}
+	a.Count(link, bytes)
+}
+
+// Names of links in the metrics.
+const (
+	linkLocal  = "local"
+	linkRegion = "region"
+)
+
+func (a *Answerer) refuse(w http.ResponseWriter, from, requestID string, err *eelgrasspoint.OutcomeError) {
+	w.Header()[eelgrasspoint.HeaderReason] = []string{err.Reason.String()}
+	a.hint(w.Header(), from)
+	refuser.Write(w, requestID, err)
+}
+
+func asOutcome(err error) *eelgrasspoint.OutcomeError {
+	var outcome *eelgrasspoint.OutcomeError
+	if errors.As(err, &outcome) {
+		return outcome
+	}
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.ConnectionLost, Detail: err.Error()}
+}
--- /dev/null
+++ b/transport/caller/caller.go
@@ -0,0 +1,154 @@
+// Package caller carries attempts to the exit nodes of other backend servers.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/labeler"
+	"eelgrasspoint/transport/dialer"
+	"eelgrasspoint/transport/relayer"
+)
+
+// Caller sends attempts over HTTP/2 without TLS. It is safe for concurrent use.
+type Caller struct {
+	transport *http.Transport
+	region    string
+	clock     eelgrasspoint.Clock
+}
+
+var _ eelgrasspoint.Carrier = (*Caller)(nil)
+
+// New returns a caller in the region that opens its connections with dial.
+func New(dial dialer.Func, region string, clock eelgrasspoint.Clock) *Caller {
+	return &Caller{transport: NewTransport(dial), region: region, clock: clock}
+}
+
+// NewTransport returns an HTTP/2 transport between nodes. A connection that carries nothing
+// is pinged and, without an answer, closed, so that a new one is opened.
+func NewTransport(dial dialer.Func) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:           connectWithin(dial),
+		Protocols:             protocols,
+		DisableCompression:    true,
+		IdleConnTimeout:       eelgrasspoint.PeerIdleTime,
+		ExpectContinueTimeout: eelgrasspoint.PeerHeaderTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:               eelgrasspoint.PeerPingAfter,
+			PingTimeout:                   eelgrasspoint.PeerPingTimeout,
+			MaxReceiveBufferPerConnection: eelgrasspoint.PeerWindowBytes * 4,
+			MaxReceiveBufferPerStream:     eelgrasspoint.PeerWindowBytes,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() { c.transport.CloseIdleConnections() }
+
+// Carry sends the attempt to the candidate's exit node and reads its verdict.
+func (c *Caller) Carry(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request := c.request(httptrace.WithClientTrace(ctx, trace), candidate, attempt)
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, failure(ctx, connected.Load(), err)
+	}
+	return verdict(response)
+}
+
+func (c *Caller) request(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) *http.Request {
+	header := attempt.Header.Clone()
+	labeler.Write(header, &attempt.Meta, c.clock())
+	header[eelgrasspoint.HeaderFrom] = []string{c.region}
+	target, err := url.ParseRequestURI(attempt.Target)
+	if err != nil {
+		target = &url.URL{Path: "/"}
+	}
+	target.Scheme = "http"
+	target.Host = candidate.PeerAddress.String()
+	request := &http.Request{
+		Method:        attempt.Method,
+		URL:           target,
+		Host:          attempt.Host,
+		Header:        header,
+		Body:          attempt.Body,
+		ContentLength: attempt.Length,
+	}
+	if attempt.Length < 0 || attempt.Length > eelgrasspoint.MaxReplayBytes {
+		// The exit node refuses before a long body is sent.
+		header["Expect"] = []string{"100-continue"}
+	}
+	return request.WithContext(ctx)
+}
+
+// failure says what is known of an attempt that brought no response. Until a connection was
+// there, nothing was sent.
+func failure(ctx context.Context, connected bool, err error) error {
+	var outcome *eelgrasspoint.OutcomeError
+	if errors.As(err, &outcome) && connected {
+		return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: outcome.Reason}
+	}
+	if !connected {
+		return eelgrasspoint.Refuse(notSentReason(ctx), err.Error())
+	}
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: lostReason(ctx), Detail: err.Error()}
+}
+
+func notSentReason(ctx context.Context) eelgrasspoint.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return eelgrasspoint.DeadlinePassed
+	case ctx.Err() != nil:
+		return eelgrasspoint.Canceled
+	default:
+		return eelgrasspoint.ServerUnreachable
+	}
+}
+
+func lostReason(ctx context.Context) eelgrasspoint.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return eelgrasspoint.TimedOut
+	case ctx.Err() != nil:
+		return eelgrasspoint.Canceled
+	default:
+		return eelgrasspoint.ConnectionLost
+	}
+}
+
+// verdict tells an answer of the backend server from one of the exit node.
+func verdict(response *http.Response) (*eelgrasspoint.Answer, error) {
+	header := response.Header
+	load, hasLoad := labeler.ReadLoad(header)
+	outcome, known := eelgrasspoint.ParseOutcome(header.Get(eelgrasspoint.HeaderOutcome))
+	if known && outcome == eelgrasspoint.Answered {
+		servedBy := header.Get(eelgrasspoint.HeaderServedBy)
+		labeler.Strip(header)
+		relayer.StripHop(header)
+		return &eelgrasspoint.Answer{Response: response, Load: load, HasLoad: hasLoad, ServedBy: servedBy}, nil
+	}
+	response.Body.Close()
+	if !known {
+		outcome = eelgrasspoint.MayHaveRun
+	}
+	reason := eelgrasspoint.ParseReason(header.Get(eelgrasspoint.HeaderReason))
+	answer := &eelgrasspoint.Answer{Load: load, HasLoad: hasLoad}
+	return answer, &eelgrasspoint.OutcomeError{Outcome: outcome, Reason: reason}
+}
+
+func connectWithin(dial dialer.Func) dialer.Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.ConnectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
--- /dev/null
+++ b/transport/replayer/replayer.go
@@ -0,0 +1,175 @@
+// Package replayer lets a request body be read again by a later attempt, within a bound.
+package replayer
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"eelgrasspoint"
+)
+
+// total counts the bytes held for replay by all requests of the process.
+var total atomic.Int64
+
+// errDetached ends the reads of an attempt that was given up.
+var errDetached = errors.New("the attempt was given up")
+
+// Replayer reads a body once and keeps its beginning. It is safe for concurrent use.
+type Replayer struct {
+	limit    int64
+	reserved atomic.Int64
+
+	mu       sync.Mutex
+	source   io.ReadCloser
+	kept     []byte
+	consumed int64
+	ended    error
+	current  *reader
+}
+
+// New returns a replayer of a body that may have at most limit bytes.
+func New(source io.ReadCloser, limit int64) *Replayer {
+	return &Replayer{source: source, limit: limit}
+}
+
+// Fill reads a body of the length whole, if the bound allows, so that its fingerprint is known.
+func (p *Replayer) Fill(length int64) error {
+	if length <= 0 || length > eelgrasspoint.MaxReplayBytes {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.reserve(length) {
+		return nil
+	}
+	p.kept = make([]byte, length)
+	n, err := io.ReadFull(p.source, p.kept)
+	p.kept = p.kept[:n]
+	p.consumed = int64(n)
+	if err != nil {
+		return err
+	}
+	p.ended = io.EOF
+	return nil
+}
+
+// Kept returns the beginning of the body as far as it was read and kept.
+func (p *Replayer) Kept() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept
+}
+
+// Replayable reports whether another attempt can read the body from its beginning. It does
+// not wait for a read that is under way.
+func (p *Replayer) Replayable() bool {
+	if !p.mu.TryLock() {
+		return false
+	}
+	defer p.mu.Unlock()
+	return p.consumed == int64(len(p.kept))
+}
+
+// Err returns why the source ended early, or nil.
+func (p *Replayer) Err() error {
+	if !p.mu.TryLock() {
+		return nil
+	}
+	defer p.mu.Unlock()
+	if errors.Is(p.ended, io.EOF) {
+		return nil
+	}
+	return p.ended
+}
+
+// Open returns the body for a new attempt; the reads of the one before end.
+func (p *Replayer) Open() io.ReadCloser {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.current = &reader{replayer: p}
+	return p.current
+}
+
+// Share returns the body for an attempt beside the others. All of it must be kept.
+func (p *Replayer) Share() io.ReadCloser { return &reader{replayer: p, shared: true} }
+
+// Complete reports whether the whole body is kept.
+func (p *Replayer) Complete() bool {
+	return p.Replayable() && p.Err() == nil && p.sawEnd()
+}
+
+// Close gives up what was kept. It does not wait for a read that is under way.
+func (p *Replayer) Close() { total.Add(-p.reserved.Swap(0)) }
+
+func (p *Replayer) sawEnd() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended != nil
+}
+
+// reserve takes the bytes from the bound of the process.
+func (p *Replayer) reserve(n int64) bool {
+	if total.Add(n) > eelgrasspoint.MaxReplayTotalBytes {
+		total.Add(-n)
+		return false
+	}
+	p.reserved.Add(n)
+	return true
+}
+
+// keep appends what was read while the bounds allow and nothing before it was lost.
+func (p *Replayer) keep(b []byte) {
+	whole := p.consumed == int64(len(p.kept))
+	p.consumed += int64(len(b))
+	if !whole || len(p.kept)+len(b) > eelgrasspoint.MaxReplayBytes {
+		return
+	}
+	if p.reserve(int64(len(b))) {
+		p.kept = append(p.kept, b...)
+	}
+}
+
+// pull reads from the source with the lock held, so that two attempts never share a byte.
+func (p *Replayer) pull(b []byte) (int, error) {
+	if p.ended != nil {
+		return 0, p.ended
+	}
+	n, err := p.source.Read(b)
+	p.keep(b[:n])
+	if p.consumed > p.limit {
+		err = eelgrasspoint.Refuse(eelgrasspoint.BodyTooLarge, "")
+	}
+	p.ended = err
+	return n, err
+}
+
+type reader struct {
+	replayer *Replayer
+	shared   bool
+	offset   int
+}
+
+func (r *reader) Read(b []byte) (int, error) {
+	p := r.replayer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !r.shared && p.current != r {
+		return 0, errDetached
+	}
+	if r.offset < len(p.kept) {
+		n := copy(b, p.kept[r.offset:])
+		r.offset += n
+		return n, nil
+	}
+	if int64(r.offset) != p.consumed {
+		return 0, errDetached
+	}
+	n, err := p.pull(b)
+	r.offset += n
+	return n, err
+}
+
+// Close implements io.Closer. The source belongs to the server, which closes it.
+func (r *reader) Close() error { return nil }
