--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 	mvdan.cc/gofumpt github.com/mgechev/revive golang.org/x/tools/cmd/stringer golang.org/x/perf/cmd/benchstat
 PACKAGES := ./... ./standin/...
 
-.PHONY: build tools test lint format generate check-generated demo demo-shell measure fuzz clean
+# Targets for daily work; README tells them by task.
+.PHONY: schedules build tools test lint format generate check-generated demo demo-shell measure fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./standin/cmd/...
@@ -13,22 +14,43 @@
 	@cd tools && for t in $(TOOLS); do go build -o $(BIN)/ $$t || exit 1; done
 
 test:
-	go test $(PACKAGES)
+	go test -timeout 20m $(PACKAGES)
 
 lint: tools
-	@test -z "$$($(BIN)/gofumpt -l . | grep -v '\.pb\.go$$\|\.twirp\.go$$' | tee /dev/stderr)"
+	@test -z "$$($(BIN)/gofumpt -l . | grep -v '\.pb\.go$$\|\.twirp\.go$$\|_string\.go$$' | tee /dev/stderr)"
 	go vet $(PACKAGES)
 	$(BIN)/revive -config revive.toml -set_exit_status -exclude ./protocol/schema/... $(PACKAGES)
 
 format: tools
-	$(BIN)/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$')
+	$(BIN)/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$\|_string\.go$$')
 
 generate: tools
 	PATH=$(BIN):$$PATH protoc -I . --go_out=. --go_opt=module=eelgrasspoint --twirp_out=. --twirp_opt=module=eelgrasspoint protocol/schema/eelgrass.proto
 	PATH=$(BIN):$$PATH go generate ./...
 
+# Compares the committed code with what the schema gives, where the generator is there.
+check-generated: tools
+	@if ! command -v protoc > /dev/null; then echo "protoc is not there: the generated code was not compared"; else \
+	mkdir -p _out/generated && PATH=$(BIN):$$PATH protoc -I . --go_out=_out/generated --go_opt=module=eelgrasspoint --twirp_out=_out/generated --twirp_opt=module=eelgrasspoint protocol/schema/eelgrass.proto && \
+	for f in eelgrass.pb.go eelgrass.twirp.go; do \
+	grep -v '^// 	protoc' _out/generated/protocol/schema/$$f > _out/a; grep -v '^// 	protoc' protocol/schema/$$f > _out/b; cmp _out/a _out/b || exit 1; done; fi
+	@PATH=$(BIN):$$PATH go generate . && git diff --exit-code -- '*_string.go'
+
 demo: build
 	$(BIN)/demo --bin $(BIN)
 
 clean:
-	rm -rf $(BIN) out
+	rm -rf $(BIN) _out
+
+demo-shell: build
+	$(BIN)/demo --bin $(BIN) --keep
+
+measure: build
+	go test ./standin/proof -run TestMeasure -measure -v -count=1 -timeout 20m
+	$(BIN)/measure --bin $(BIN)
+
+schedules:
+	go test ./standin/proof -run TestSchedules -schedules 10000 -count=1 -timeout 60m
+
+fuzz:
+	for f in $$(grep -rl '^func Fuzz' --include=*_test.go . ); do go test ./$$(dirname $$f) -run '^$$' -fuzz . -fuzztime 20s || exit 1; done
--- a/coordination/executor/crash.go
+++ b/coordination/executor/crash.go
@@ -37,8 +37,16 @@
 	go e.probe(r.backend)
 }
 
+// crashName is the same for all that is seen of one crash.
 func (e *Executor) crashName(r *run) string {
-	return fmt.Sprintf("%s/%d/%d", e.options.Holder.Load().Self.Name, r.backend.Incarnation, e.epoch)
+	return fmt.Sprintf("%s/%d", e.options.Holder.Load().Self.Name, r.backend.Incarnation)
+}
+
+// connectionRefused confirms the crash that lost connections hinted at.
+func (e *Executor) connectionRefused() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmCrash()
 }
 
 // suspect counts the crash at once and takes it back unless it is confirmed in time.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// Close closes the warm connections to the backend server.
+func (e *Executor) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.transport != nil {
+		e.transport.CloseIdleConnections()
+	}
+}
+
 // InFlight returns the number of attempts that run now.
 func (e *Executor) InFlight() int {
 	e.mu.Lock()
@@ -183,7 +192,7 @@
 	e.mu.Unlock()
 	sample.At = e.options.Clock()
 	sample.Duration = r.serviceTime(sample.At)
-	if sample.Succeeded && r.suspect {
+	if sample.Succeeded {
 		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
 	}
 	if e.options.Admitter.Release(sample) {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -135,9 +135,12 @@
 func (r *run) fail(ctx context.Context, last sending) error {
 	refused := errors.Is(last.err, syscall.ECONNREFUSED)
 	lost := last.state == eelgrasspoint.AttemptSent && ctx.Err() == nil && !fromCaller(last.err)
-	if lost || refused {
+	if lost {
 		r.executor.connectionLost(r)
 	}
+	if refused {
+		r.executor.connectionRefused()
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// A connection that brought nothing until the deadline may have gone silent.
 		r.transport.CloseIdleConnections()
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -82,7 +82,7 @@
 		Self:             p.snapshot.Self.Name,
 		Meta:             &p.meta,
 		Tried:            p.tried,
-		SpillAllowed:     f.Link.Allows(p.linkReserve()),
+		SpillAllowed:     p.mayCrossLink(),
 	}
 	return f.Chooser.Choose(p.snapshot.Candidates[p.meta.Service], need, f.Clock(), f.Random)
 }
@@ -90,11 +90,13 @@
 // spillReserve is the share of the link's budget kept for requests that have no other way.
 const spillReserve = 0.5
 
-func (p *passage) linkReserve() float64 {
+// mayCrossLink keeps what could be served here within the budget. A request that is bound to
+// another region has no other way and is only counted.
+func (p *passage) mayCrossLink() bool {
 	if !p.meta.Permits(p.snapshot.Self.Region) {
-		return 0
+		return true
 	}
-	return spillReserve
+	return p.forwarder.Link.Allows(spillReserve)
 }
 
 // noCandidate says why no attempt can follow.
@@ -136,6 +138,7 @@
 	f := p.forwarder
 	gauge := candidate.Gauge
 	gauge.Begin()
+	p.chargeLink(candidate, max(p.request.ContentLength, 0)+headerAllowance)
 	began := f.Clock()
 	answer, err := p.carrier(candidate).Carry(ctx, candidate, &eelgrasspoint.Attempt{
 		Meta: meta, Method: p.request.Method, Target: p.request.URL.RequestURI(), Host: p.request.Host,
@@ -148,7 +151,6 @@
 	if err != nil {
 		gauge.End()
 		learnFailure(gauge, asOutcome(err), now)
-		p.chargeLink(candidate, 0)
 		return nil, err
 	}
 	gauge.Succeed()
@@ -165,12 +167,12 @@
 	return p.forwarder.Peers
 }
 
-// chargeLink counts what crossed the link to another region.
-func (p *passage) chargeLink(candidate *eelgrasspoint.Candidate, answered int64) {
-	if candidate.Region == p.snapshot.Self.Region {
+// chargeLink counts what crosses the link to another region: the request when it is sent, the
+// answer as it comes.
+func (p *passage) chargeLink(candidate *eelgrasspoint.Candidate, bytes int64) {
+	if candidate.Region == p.snapshot.Self.Region || bytes == 0 {
 		return
 	}
-	bytes := max(p.request.ContentLength, 0) + answered + headerAllowance
 	p.forwarder.Link.Charge(bytes)
 	p.forwarder.Meter.Link(bytes)
 }
@@ -250,14 +252,13 @@
 	io.ReadCloser
 	passage   *passage
 	candidate *eelgrasspoint.Candidate
-	bytes     int64
 	ended     bool
 }
 
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.bytes += int64(n)
+	b.passage.chargeLink(b.candidate, int64(n))
 	return n, err
 }
 
@@ -266,7 +267,6 @@
 	if !b.ended {
 		b.ended = true
 		b.candidate.Gauge.End()
-		b.passage.chargeLink(b.candidate, b.bytes)
 	}
 	return b.ReadCloser.Close()
 }
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	records map[uint64]*record
+	// ran holds fingerprints that ran well lately, in two generations.
+	ran, ranBefore map[uint64]struct{}
 }
 
 type record struct {
@@ -38,7 +40,7 @@
 
 // New returns an empty quarantiner.
 func New(clock eelgrasspoint.Clock) *Quarantiner {
-	return &Quarantiner{clock: clock, records: make(map[uint64]*record)}
+	return &Quarantiner{clock: clock, records: make(map[uint64]*record), ran: make(map[uint64]struct{})}
 }
 
 // Standing returns what is known against the fingerprint.
@@ -63,6 +65,9 @@
 	q.expire()
 	var barred []uint64
 	for _, fingerprint := range fingerprints {
+		if q.ranWell(fingerprint) {
+			continue
+		}
 		if q.count(crash, fingerprint) {
 			barred = append(barred, fingerprint)
 		}
@@ -86,15 +91,27 @@
 	}
 }
 
-// Clear ends the suspicion against a request that ran well.
+// Clear ends the suspicion against a request that ran well. While that is remembered, a
+// crash does not count against it: many callers may ask for the same page.
 func (q *Quarantiner) Clear(fingerprint uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.ran[fingerprint] = struct{}{}
+	if len(q.ran) >= eelgrasspoint.MaxSuspectRequests {
+		q.ranBefore = q.ran
+		q.ran = make(map[uint64]struct{})
+	}
 	if r := q.records[fingerprint]; r != nil && len(r.crashes) < crashesToQuarantine {
 		delete(q.records, fingerprint)
 	}
 }
 
+func (q *Quarantiner) ranWell(fingerprint uint64) bool {
+	_, now := q.ran[fingerprint]
+	_, before := q.ranBefore[fingerprint]
+	return now || before
+}
+
 func (q *Quarantiner) count(crash string, fingerprint uint64) bool {
 	r := q.records[fingerprint]
 	if r == nil {
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -20,17 +20,21 @@
 const joinRetry = 5 * time.Second
 
 // join looks for other nodes at the addresses in the settings and in the table service, in
-// any combination that happens to be up, until it has found one or is known to be the first.
+// any combination that happens to be up, until its row is written and the others' are read.
+// It writes first: of two nodes that start together, the one that writes last reads both rows.
 func (r *Runner) join(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.askPeers(ctx)
+		written := r.writeRow(ctx) == nil
 		scanned := r.scanMembers(ctx)
 		r.catchUp(ctx)
-		if r.writeRow(ctx) == nil && scanned {
+		if written && scanned {
 			break
 		}
 		r.sleep(ctx, joinRetry)
 	}
+	r.sleep(ctx, eelgrasspoint.ScanInterval)
+	r.scanMembers(ctx)
 	r.keepRow(ctx)
 }
 
@@ -52,7 +56,7 @@
 func (r *Runner) scanMembers(ctx context.Context) bool {
 	rows, err := r.historian.Members(ctx, memberPrefix)
 	if err != nil {
-		r.storeDown(err)
+		r.storeDown(ctx, err)
 		return false
 	}
 	var members []eelgrasspoint.Member
@@ -83,7 +87,7 @@
 	}
 	err = r.historian.PutMember(ctx, memberPrefix+r.settings.Name, value)
 	if err != nil {
-		r.storeDown(err)
+		r.storeDown(ctx, err)
 	}
 	return err
 }
@@ -109,7 +113,7 @@
 func (r *Runner) catchUp(ctx context.Context) {
 	head, err := r.historian.Head(ctx)
 	if err != nil {
-		r.storeDown(err)
+		r.storeDown(ctx, err)
 		return
 	}
 	r.storeBack()
@@ -119,7 +123,7 @@
 	}
 	configuration, changes, replaced, err := r.historian.Load(ctx, own, head)
 	if err != nil {
-		r.storeDown(err)
+		r.storeDown(ctx, err)
 		return
 	}
 	if replaced {
@@ -129,8 +133,8 @@
 	r.controller.Do(controller.Adopt{Changes: changes})
 }
 
-func (r *Runner) storeDown(err error) {
-	if !r.storeIsDown.Swap(true) {
+func (r *Runner) storeDown(ctx context.Context, err error) {
+	if ctx.Err() == nil && !r.storeIsDown.Swap(true) {
 		r.record(eelgrasspoint.EventStoreDown, err.Error())
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,8 @@
 	servers    servers
 
 	storeIsDown atomic.Bool
+	abortOnce   sync.Once
+	aborted     chan struct{}
 }
 
 // Options are what a node is given from outside, so that a test can give something else.
@@ -87,7 +90,7 @@
 //	operators      -> operator -> committer -> historian -> platform
 //	                  controller -> holder -> forwarder, executor, answerer
 func New(options Options) *Runner {
-	r := &Runner{options: options, settings: options.Settings}
+	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
@@ -176,11 +179,23 @@
 	select {
 	case err := <-failed:
 		return err
+	case <-r.aborted:
+		r.servers.close()
+		r.close()
+		return nil
 	case <-ctx.Done():
+		defer r.close()
 		return r.stop()
 	}
 }
 
+// close ends the connections that the node opened itself.
+func (r *Runner) close() {
+	r.peers.Close()
+	r.executor.Close()
+	r.client.CloseIdleConnections()
+}
+
 func (r *Runner) chooser() eelgrasspoint.Chooser {
 	if r.options.Chooser != nil {
 		return r.options.Chooser
--- a/runner/servers.go
+++ b/runner/servers.go
@@ -126,3 +126,10 @@
 		s.control.Shutdown(ctx),
 	)
 }
+
+// close ends all three without waiting.
+func (s *servers) close() {
+	_ = s.callers.Close()
+	_ = s.peers.Close()
+	_ = s.control.Close()
+}
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -24,3 +24,8 @@
 	r.record(eelgrasspoint.EventNodeStopped, "")
 	return err
 }
+
+// Abort ends the node at once, as if its process had been killed.
+func (r *Runner) Abort() {
+	r.abortOnce.Do(func() { close(r.aborted) })
+}
--- a/standin/backend/announce.go
+++ b/standin/backend/announce.go
@@ -22,23 +22,27 @@
 // announceInterval is the time between two announcements.
 const announceInterval = 500 * time.Millisecond
 
-// Announce tells the node until the context ends, then says that the backend server leaves.
+// Announce tells the node until the context ends.
 func Announce(ctx context.Context, client *http.Client, control netip.AddrPort, a Announcement) {
-	url := "http://" + control.String() + "/backend-server"
 	for ctx.Err() == nil {
 		body, _ := json.Marshal(a)
-		call(ctx, client, http.MethodPut, url, body)
+		call(ctx, client, http.MethodPut, control, body)
 		select {
 		case <-ctx.Done():
 		case <-time.After(announceInterval):
 		}
 	}
-	call(context.WithoutCancel(ctx), client, http.MethodDelete, url, nil)
 }
 
-func call(ctx context.Context, client *http.Client, method, url string, body []byte) {
+// Leave tells the node that the backend server takes no more work.
+func Leave(client *http.Client, control netip.AddrPort) {
+	call(context.Background(), client, http.MethodDelete, control, nil)
+}
+
+func call(ctx context.Context, client *http.Client, method string, control netip.AddrPort, body []byte) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	url := "http://" + control.String() + "/backend-server"
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -32,6 +33,8 @@
 	// ColdTime is how long after the start a run takes ColdFactor times as long.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// Noise makes it slow now and then, as a neighbor on the same hardware does.
+	Noise Noise
 	// Full makes it shed every request.
 	Full bool
 	// FailFast makes it answer every request with an error at once.
@@ -40,9 +43,32 @@
 	TruncateAfter int
 }
 
+// Noise cuts time into windows; in a share of them a run takes longer.
+type Noise struct {
+	Every  time.Duration
+	Share  float64
+	Factor float64
+	Seed   uint64
+}
+
+// factor returns how much longer a run takes that begins at the time.
+func (n Noise) factor(at time.Time) float64 {
+	if n.Every == 0 {
+		return 1
+	}
+	window := uint64(at.UnixNano()) / uint64(n.Every)
+	if rand.New(rand.NewPCG(n.Seed, window)).Float64() < n.Share {
+		return n.Factor
+	}
+	return 1
+}
+
 // HeaderCrash on a request makes the backend server crash while it runs it.
 const HeaderCrash = "Standin-Crash"
 
+// HeaderEcho on an answer is the identifier of the request that it answers.
+const HeaderEcho = "Standin-Request-Id"
+
 // New returns a backend server with the slots; crash ends its process.
 func New(service string, slots int, behavior Behavior, crash func()) *Backend {
 	return &Backend{
@@ -99,6 +125,7 @@
 		return
 	}
 	w.Header().Set("Standin-Service", b.service)
+	w.Header().Set(HeaderEcho, r.Header.Get("Eelgrass-Request-Id"))
 	b.answer(w, r, behavior)
 }
 
@@ -125,7 +152,7 @@
 	b.runs[id]++
 	b.inUse++
 	b.maxInUse = max(b.maxInUse, b.inUse)
-	took := b.behavior.ServiceTime
+	took := time.Duration(float64(b.behavior.ServiceTime) * b.behavior.Noise.factor(time.Now()))
 	if time.Since(b.startedAt) < b.behavior.ColdTime {
 		took = time.Duration(float64(took) * b.behavior.ColdFactor)
 	}
@@ -168,7 +195,11 @@
 		_, _ = io.CopyN(w, pattern{}, n)
 		return
 	}
-	_, _ = io.Copy(w, r.Body)
+	// Without this the server takes the rest of the request's body away when the answer begins.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if _, err := io.Copy(w, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // pattern is an endless body.
--- /dev/null
+++ b/standin/proof/doc.go
@@ -0,0 +1,2 @@
+// Package proof holds the tests that run whole nodes against stated outcomes.
+package proof
--- a/transport/replayer/replayer.go
+++ b/transport/replayer/replayer.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"io"
-	"sync"
 	"sync/atomic"
 
 	"eelgrasspoint"
@@ -21,7 +20,8 @@
 	limit    int64
 	reserved atomic.Int64
 
-	mu       sync.Mutex
+	// turn guards what follows. It is held while the source is read, which may take long.
+	turn     turn
 	source   io.ReadCloser
 	kept     []byte
 	consumed int64
@@ -31,7 +31,7 @@
 
 // New returns a replayer of a body that may have at most limit bytes.
 func New(source io.ReadCloser, limit int64) *Replayer {
-	return &Replayer{source: source, limit: limit}
+	return &Replayer{source: source, limit: limit, turn: make(turn, 1)}
 }
 
 // Fill reads a body of the length whole, if the bound allows, so that its fingerprint is known.
@@ -39,8 +39,8 @@
 	if length <= 0 || length > eelgrasspoint.MaxReplayBytes {
 		return nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.turn.take()
+	defer p.turn.give()
 	if !p.reserve(length) {
 		return nil
 	}
@@ -57,27 +57,27 @@
 
 // Kept returns the beginning of the body as far as it was read and kept.
 func (p *Replayer) Kept() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.turn.take()
+	defer p.turn.give()
 	return p.kept
 }
 
 // Replayable reports whether another attempt can read the body from its beginning. It does
 // not wait for a read that is under way.
 func (p *Replayer) Replayable() bool {
-	if !p.mu.TryLock() {
+	if !p.turn.try() {
 		return false
 	}
-	defer p.mu.Unlock()
+	defer p.turn.give()
 	return p.consumed == int64(len(p.kept))
 }
 
 // Err returns why the source ended early, or nil.
 func (p *Replayer) Err() error {
-	if !p.mu.TryLock() {
+	if !p.turn.try() {
 		return nil
 	}
-	defer p.mu.Unlock()
+	defer p.turn.give()
 	if errors.Is(p.ended, io.EOF) {
 		return nil
 	}
@@ -86,8 +86,8 @@
 
 // Open returns the body for a new attempt; the reads of the one before end.
 func (p *Replayer) Open() io.ReadCloser {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.turn.take()
+	defer p.turn.give()
 	p.current = &reader{replayer: p}
 	return p.current
 }
@@ -104,8 +104,8 @@
 func (p *Replayer) Close() { total.Add(-p.reserved.Swap(0)) }
 
 func (p *Replayer) sawEnd() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.turn.take()
+	defer p.turn.give()
 	return p.ended != nil
 }
 
@@ -145,6 +145,21 @@
 	return n, err
 }
 
+// turn is a lock that can be tried.
+type turn chan struct{}
+
+func (t turn) take() { t <- struct{}{} }
+func (t turn) give() { <-t }
+
+func (t turn) try() bool {
+	select {
+	case t <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 type reader struct {
 	replayer *Replayer
 	shared   bool
@@ -153,8 +168,8 @@
 
 func (r *reader) Read(b []byte) (int, error) {
 	p := r.replayer
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.turn.take()
+	defer p.turn.give()
 	if !r.shared && p.current != r {
 		return 0, errDetached
 	}
