Random schedules of faults; keys claimed in the table service

Ruled out: memory of keys in the service's instances. It forgets with its processes, and keeping two copies in step through cuts is a replicated store.

--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/claimer"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/labeler"
 	"eelgrasspoint/protocol/parser"
@@ -35,6 +36,7 @@
 	Chooser      eelgrasspoint.Chooser
 	Retrier      *retrier.Retrier
 	Link         *budgeter.Budgeter
+	Claimer      *claimer.Claimer
 	Peers        eelgrasspoint.Carrier
 	Local        eelgrasspoint.Carrier
 	Meter        *meter.Meter
@@ -53,16 +55,17 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := f.Clock()
 	// The answer may begin before the request's body has ended.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex()
 	p, refusal := f.prepare(r, began)
-	defer p.body.Close()
+	defer p.body.Close(func() { _ = controller.SetReadDeadline(began) })
 	if refusal != nil {
 		f.refuse(w, p, began, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.meta.Deadline)
 	defer cancel()
-	answer, failure := p.run(ctx)
+	answer, failure := p.runOnce(ctx)
 	if failure != nil {
 		f.refuse(w, p, began, failure)
 		return
@@ -126,6 +129,7 @@
 	labeler.Strip(header)
 	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
 	header[eelgrasspoint.HeaderRequestID] = []string{p.meta.RequestID}
+	p.closeUnlessRead(header)
 	defer func() { f.Meter.Request(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(began)) }()
 	f.relayer.Relay(w, answer.Response)
 }
@@ -134,6 +138,7 @@
 	f.Meter.Request(p.meta.Service, err.Outcome, f.Clock().Sub(began))
 	f.Meter.Refusal(p.meta.Service, err.Reason)
 	p.record(refusalEvent(err), err.Error())
+	p.closeUnlessRead(w.Header())
 	refuser.Write(w, p.meta.RequestID, &eelgrasspoint.OutcomeError{
 		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err),
 	})
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"eelgrasspoint"
@@ -25,6 +26,8 @@
 	header    http.Header
 	tried     []*eelgrasspoint.Candidate
 	attempts  int
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun atomic.Bool
 }
 
 // route finds where the request may go.
@@ -46,6 +49,31 @@
 	return nil
 }
 
+// runOnce runs a request with an idempotency key under a claim of the key.
+func (p *passage) runOnce(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
+	if p.meta.Key == "" || p.meta.Idempotent {
+		return p.runAttempts(ctx)
+	}
+	claim, refusal := p.forwarder.Claimer.Claim(ctx, &p.meta)
+	if refusal != nil {
+		return nil, refusal
+	}
+	answer, failure := p.runAttempts(ctx)
+	if failure != nil && failure.Outcome == eelgrasspoint.NotRun {
+		claim.Release(ctx)
+	}
+	return answer, failure
+}
+
+// runAttempts says "not run" only if no attempt may have run.
+func (p *passage) runAttempts(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
+	answer, failure := p.run(ctx)
+	if failure != nil && failure.Outcome == eelgrasspoint.NotRun && p.mayHaveRun.Load() {
+		failure = &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: failure.Reason, Detail: failure.Detail}
+	}
+	return answer, failure
+}
+
 // run sends attempts until one is answered or none may follow.
 func (p *passage) run(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
 	p.header = p.request.Header.Clone()
@@ -150,7 +178,11 @@
 	}
 	if err != nil {
 		gauge.End()
-		learnFailure(gauge, asOutcome(err), now)
+		outcome := asOutcome(err)
+		if outcome.Outcome != eelgrasspoint.NotRun {
+			p.mayHaveRun.Store(true)
+		}
+		learnFailure(gauge, outcome, now)
 		return nil, err
 	}
 	gauge.Succeed()
@@ -233,9 +265,18 @@
 		return false
 	}
 	answer.Response.Body.Close()
+	p.mayHaveRun.Store(true)
 	return true
 }
 
+// closeUnlessRead ends an HTTP/1.1 connection after an answer that begins before the request's
+// body has ended: net/http can't take the next request from it safely.
+func (p *passage) closeUnlessRead(header http.Header) {
+	if p.request.ProtoMajor == 1 && p.request.ContentLength != 0 && !p.body.Ended() {
+		header["Connection"] = []string{"close"}
+	}
+}
+
 // record writes an event unless this node's region may not store anything of the request.
 func (p *passage) record(number eelgrasspoint.EventNumber, detail string) {
 	if !p.meta.Permits(p.snapshot.Self.Region) {
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -98,6 +98,20 @@
 	for ctx.Err() == nil {
 		r.sleep(ctx, eelgrasspoint.StoreRowInterval)
 		_ = r.writeRow(ctx)
+		r.sweep(ctx)
+	}
+}
+
+// sweep deletes claims that are over. One node of all does it at a time, as a rule; more do
+// no harm.
+func (r *Runner) sweep(ctx context.Context) {
+	for _, m := range r.controller.View().Members {
+		if m.Alive() {
+			if m.Name == r.settings.Name {
+				_ = r.claimer.Sweep(ctx)
+			}
+			return
+		}
 	}
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,6 +16,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/admitter"
 	"eelgrasspoint/coordination/chooser"
+	"eelgrasspoint/coordination/claimer"
 	"eelgrasspoint/coordination/committer"
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/exchanger"
@@ -54,6 +55,7 @@
 	controller *controller.Controller
 	observer   *observer.Observer
 	historian  *historian.Historian
+	claimer    *claimer.Claimer
 	committer  *committer.Committer
 	link       *budgeter.Budgeter
 	measuring  *budgeter.Budgeter
@@ -133,7 +135,9 @@
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
 		Witness: r.recorder.Witness, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.Refresh,
 	})
-	r.historian = historian.New(r.options.Table(r.meter.StoreCall))
+	table, objects := r.options.Table(r.meter.StoreCall)
+	r.historian = historian.New(table, objects)
+	r.claimer = claimer.New(table, r.settings.PlatformRegion, clock)
 	r.committer = committer.New(committer.Options{
 		Node: r.settings.Name, Controller: r.controller, Historian: r.historian, Recorder: r.recorder, Clock: clock,
 	})
@@ -142,7 +146,7 @@
 func (r *Runner) buildServers() servers {
 	return newServers(handlers{
 		callers: forwarder.New(forwarder.Options{
-			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(), Link: r.link, Peers: r.peers,
+			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(), Link: r.link, Claimer: r.claimer, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
 		}),
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -215,6 +215,7 @@
 	}
 	if platform.IsValid() {
 		settings["Platform"] = platform
+		settings["PlatformRegion"] = c.platformRegion(n)
 	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
@@ -223,6 +224,14 @@
 	return os.WriteFile(n.settings, data, 0o600)
 }
 
+// platformRegion is that of the first node.
+func (c *Cluster) platformRegion(n *Node) string {
+	if len(c.Nodes) == 0 {
+		return n.Region
+	}
+	return c.Nodes[0].Region
+}
+
 // Ports are taken from below the range that the system gives to outgoing connections.
 const (
 	firstPort = 12000
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -150,8 +150,7 @@
 		return nil, dialError(to, err)
 	}
 	if n.unreachable(from, to.Addr(), crosses) {
-		<-ctx.Done()
-		return nil, dialError(to, ctx.Err())
+		return nil, dialError(to, noAnswer(ctx))
 	}
 	n.mu.Lock()
 	l := n.listeners[to]
@@ -173,6 +172,9 @@
 func (n *Network) unreachable(from, to netip.Addr, crosses bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if from == to {
+		return false
+	}
 	return n.lost[from] || n.lost[to] || crosses && n.cut
 }
 
@@ -252,6 +254,16 @@
 	return &net.OpError{Op: "dial", Net: "tcp", Addr: net.TCPAddrFromAddrPort(to), Err: err}
 }
 
+// ConnectGivesUp is how long a system tries to open a connection by itself.
+const ConnectGivesUp = 2 * time.Minute
+
+func noAnswer(ctx context.Context) error {
+	if err := sleep(ctx, ConnectGivesUp); err != nil {
+		return err
+	}
+	return os.NewSyscallError("connect", syscall.ETIMEDOUT)
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	if d == 0 {
 		return ctx.Err()
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -29,11 +29,13 @@
 	ControlAddress netip.AddrPort
 	// Platform is the address of the table service and object store; without it the node
 	// keeps its configuration in memory only.
-	Platform     netip.AddrPort
-	Peers        []netip.AddrPort
-	LogLevel     string
-	MaxBodyBytes int64
-	StopTimeout  time.Duration
+	Platform netip.AddrPort
+	// PlatformRegion is where the platform sits: what is bound to other regions is not kept in it.
+	PlatformRegion string
+	Peers          []netip.AddrPort
+	LogLevel       string
+	MaxBodyBytes   int64
+	StopTimeout    time.Duration
 }
 
 // Defaults of settings that may be left out.
@@ -90,6 +92,9 @@
 			add(path, "is required, as an IP number and port such as 10.0.0.7:7000")
 		}
 	}
+	if s.Platform.IsValid() && s.PlatformRegion == "" {
+		add("PlatformRegion", "is required with Platform")
+	}
 	if s.PeerAddress.IsValid() && (s.PeerAddress.Addr().IsUnspecified() || s.PeerAddress.Port() == 0) {
 		add("PeerAddress", "must be the address that other nodes reach this one at")
 	}
--- a/transport/replayer/replayer.go
+++ b/transport/replayer/replayer.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 
 	"eelgrasspoint"
@@ -97,16 +98,31 @@
 
 // Complete reports whether the whole body is kept.
 func (p *Replayer) Complete() bool {
-	return p.Replayable() && p.Err() == nil && p.sawEnd()
+	return p.Replayable() && p.Err() == nil && (p.Ended() || p.source == http.NoBody)
 }
 
-// Close gives up what was kept. It does not wait for a read that is under way.
-func (p *Replayer) Close() { total.Add(-p.reserved.Swap(0)) }
-
-func (p *Replayer) sawEnd() bool {
-	p.turn.take()
+// Ended reports whether the source was read to its end.
+func (p *Replayer) Ended() bool {
+	if !p.turn.try() {
+		return false
+	}
 	defer p.turn.give()
-	return p.ended != nil
+	return p.ended == io.EOF
+}
+
+// Close gives up what was kept. A read that is under way is interrupted and waited for: the
+// source may not be read after its server's handler has returned.
+func (p *Replayer) Close(interrupt func()) {
+	total.Add(-p.reserved.Swap(0))
+	if !p.turn.try() {
+		interrupt()
+		p.turn.take()
+	}
+	p.current = nil
+	if p.ended == nil {
+		p.ended = errDetached
+	}
+	p.turn.give()
 }
 
 // reserve takes the bytes from the bound of the process.
