Admission, choice and retries measured against baselines, and mended

It took every slowness for too much load, and grew by one per 100 ms.

Changes, each measured on its own: - A lowered limit is an experiment: if latency does not follow, it goes back. Growth by half per window of 50 ms. Runs that stall lower it before they end. - New backend servers looked fastest of all, since nothing was observed of them; the unobserved now count as usual, and four are compared, not two.

The stand-in now collapses when it is cold and has more than it can bear.

--- a/constants.go
+++ b/constants.go
@@ -20,6 +20,7 @@
 	HeaderFingerprint = "Eelgrass-Fingerprint"
 	HeaderAttempt     = "Eelgrass-Attempt"
 	HeaderFrom        = "Eelgrass-From"
+	HeaderInsists     = "Eelgrass-Insists"
 	HeaderServedBy    = "Eelgrass-Served-By"
 )
 
@@ -38,7 +39,9 @@
 	HedgeDelayFloor      = 10 * time.Millisecond
 	RefusalRetryAfter    = time.Second
 	RelayBufferBytes     = 32 << 10
-	RetryShare           = 0.1
+	RetryShare           = 0.08
+	HedgeShare           = 0.05
+	RedirectShare        = 0.1
 	RetryBurst           = 10
 	ServerFailurePenalty = time.Second
 )
@@ -49,11 +52,20 @@
 	MinLimit             = 1
 	DefaultSlots         = 16
 	DefaultConnections   = 256
-	LimitWindow          = 100 * time.Millisecond
+	LimitWindow          = 50 * time.Millisecond
 	BaselineWindow       = 30 * time.Second
 	LatencyTolerance     = 2.0
-	ColdJump             = 8.0
-	ShrinkFactor         = 0.8
+	ShrinkFactor         = 0.7
+	StallTolerance       = 4.0
+	GrowFactor           = 1.5
+	CureShare            = 0.85
+	SlowTolerance        = 3.0
+	SlowEvidenceTime     = 300 * time.Millisecond
+	RecentSmoothing      = 0.5
+	TypicalSmoothing     = 0.02
+	CalmTime             = time.Second
+	MinFailures          = 2
+	FailureShare         = 10
 	MaxQueueShare        = 2
 	MaxQueueWait         = 250 * time.Millisecond
 	SuspectRequestTime   = 10 * time.Minute
@@ -109,6 +121,7 @@
 	LatencySmoothing        = 0.2
 	ErrorHalfLife           = 2 * time.Second
 	ErrorPenalty            = 20.0
+	CandidatesCompared      = 4
 	LatencyHalfLife         = 500 * time.Millisecond
 	OtherZonePenalty        = 2 * time.Millisecond
 	OtherRegionPenalty      = 40 * time.Millisecond
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -18,13 +18,16 @@
 	limiter eelgrasspoint.Limiter
 	inUse   int
 	queue   queue
-	service time.Duration
+	service speed
 	closed  eelgrasspoint.Reason
+	// begun sums up when the requests in use began, counted from epoch.
+	begun time.Duration
+	epoch time.Time
 }
 
 // New returns an admitter with an empty queue.
 func New(limiter eelgrasspoint.Limiter, clock eelgrasspoint.Clock) *Admitter {
-	return &Admitter{limiter: limiter, clock: clock}
+	return &Admitter{limiter: limiter, clock: clock, epoch: clock()}
 }
 
 // Admit returns when the request may run; the caller must call Release once after it ran.
@@ -52,10 +55,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sample.InUse = a.inUse
-	a.inUse--
+	a.leave(sample.At.Add(-sample.Held))
 	cold := a.limiter.Observe(sample)
 	if sample.Succeeded {
-		a.learnService(sample.Duration)
+		a.service.learn(sample.Duration, sample.At)
 	}
 	a.grant()
 	return cold
@@ -66,7 +69,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.Reset(slots)
-	a.service = 0
+	a.service = speed{}
 	a.grant()
 }
 
@@ -95,6 +98,8 @@
 		InUse:  uint32(max(a.inUse, 0)),
 		Limit:  uint32(a.limiter.Limit()),
 		Queued: uint32(a.queue.Len()),
+
+		Expected: a.service.expected(a.age(), a.clock()),
 	}
 }
 
@@ -105,8 +110,12 @@
 	if a.closed != eelgrasspoint.NoReason {
 		return nil, refusal(a.closed)
 	}
+	a.watch()
+	if !meta.Insists && a.service.slow(a.age(), a.clock()) {
+		return nil, refusal(eelgrasspoint.SlowServer)
+	}
 	if a.queue.Len() == 0 && a.inUse < a.limiter.Limit() {
-		a.inUse++
+		a.take(a.clock())
 		return nil, nil
 	}
 	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, verdict: make(chan eelgrasspoint.Reason, 1)}
@@ -120,6 +129,34 @@
 	return w, nil
 }
 
+func (a *Admitter) take(now time.Time) {
+	a.inUse++
+	a.begun += now.Sub(a.epoch)
+}
+
+func (a *Admitter) leave(began time.Time) {
+	a.inUse--
+	a.begun -= began.Sub(a.epoch)
+	if a.inUse == 0 {
+		a.begun = 0
+	}
+}
+
+// watch tells the limiter how long the requests in use have been so on average.
+func (a *Admitter) watch() {
+	if age := a.age(); age > 0 {
+		a.limiter.Watch(age, a.clock())
+	}
+}
+
+// age is how long the requests in use have been so on average.
+func (a *Admitter) age() time.Duration {
+	if a.inUse <= 0 {
+		return 0
+	}
+	return a.clock().Sub(a.epoch) - a.begun/time.Duration(a.inUse)
+}
+
 // shedLighter makes room by refusing the lightest waiter if it is lighter than w.
 func (a *Admitter) shedLighter(w *waiter) bool {
 	lightest := a.queue.lightest()
@@ -133,16 +170,16 @@
 
 // canFinish estimates whether the waiter would be answered in time behind those that go first.
 func (a *Admitter) canFinish(w *waiter) bool {
-	if a.service == 0 {
+	if a.service.recent == 0 {
 		return true
 	}
 	limit := max(a.limiter.Limit(), 1)
 	ahead := a.queue.ahead(w) + 1
-	wait := a.service * time.Duration(ahead) / time.Duration(limit)
+	wait := a.service.recent * time.Duration(ahead) / time.Duration(limit)
 	if wait > eelgrasspoint.MaxQueueWait {
 		return false
 	}
-	return w.deadline.IsZero() || !a.clock().Add(wait+a.service).After(w.deadline)
+	return w.deadline.IsZero() || !a.clock().Add(wait+a.service.recent).After(w.deadline)
 }
 
 func (a *Admitter) maxQueue() int {
@@ -154,11 +191,12 @@
 	now := a.clock()
 	for a.queue.Len() > 0 && a.inUse < a.limiter.Limit() {
 		w := a.queue.popBest()
-		if !w.deadline.IsZero() && now.Add(a.service/2).After(w.deadline) {
+		if !w.deadline.IsZero() && now.Add(a.service.recent/2).After(w.deadline) {
 			w.verdict <- eelgrasspoint.DeadlinePassed
 			continue
 		}
-		a.inUse++
+		w.began = now
+		a.take(now)
 		w.verdict <- eelgrasspoint.NoReason
 	}
 }
@@ -173,7 +211,7 @@
 	if verdict := <-w.verdict; verdict != eelgrasspoint.NoReason {
 		return refusal(verdict)
 	}
-	a.inUse--
+	a.leave(w.began)
 	a.grant()
 	return refusal(reason)
 }
@@ -185,14 +223,6 @@
 	return min(eelgrasspoint.MaxQueueWait, eelgrasspoint.Remaining(meta.Deadline, a.clock()))
 }
 
-func (a *Admitter) learnService(d time.Duration) {
-	if a.service == 0 {
-		a.service = d
-		return
-	}
-	a.service += time.Duration(eelgrasspoint.LatencySmoothing * float64(d-a.service))
-}
-
 func refusal(reason eelgrasspoint.Reason) error {
 	if reason == eelgrasspoint.NoReason {
 		return nil
--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -10,7 +10,7 @@
 	"eelgrasspoint"
 )
 
-// Chooser compares two random candidates by the time that each is expected to take. It
+// Chooser compares a few random candidates by the time that each is expected to take. It
 // prefers its own region and goes to another only when its own has no candidate with room.
 type Chooser struct{}
 
@@ -25,7 +25,7 @@
 		if step.retryOnly(need) {
 			continue
 		}
-		if found := pickTwo(candidates, need, now, random, step.accepts); found != nil {
+		if found := pick(candidates, need, now, random, step.accepts); found != nil {
 			return found
 		}
 	}
@@ -75,37 +75,54 @@
 	return need.Meta.Permits(c.Region) && !slices.Contains(need.Tried, c)
 }
 
-// pickTwo draws two of the accepted candidates in one pass and returns the better one.
-func pickTwo(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time, random *rand.Rand, accepts func(*eelgrasspoint.Candidate, *eelgrasspoint.Need, time.Time) bool) *eelgrasspoint.Candidate {
-	var first, second *eelgrasspoint.Candidate
+// pick returns the best of a few accepted candidates that are drawn at random: with stale
+// hints, the best of all would be the best for every node at once.
+func pick(candidates []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time, random *rand.Rand, accepts func(*eelgrasspoint.Candidate, *eelgrasspoint.Need, time.Time) bool) *eelgrasspoint.Candidate {
+	var drawn [eelgrasspoint.CandidatesCompared]*eelgrasspoint.Candidate
 	seen := 0
 	for _, c := range candidates {
 		if !eligible(c, need) || !accepts(c, need, now) {
 			continue
 		}
+		place := seen
+		if seen >= len(drawn) {
+			place = random.IntN(seen + 1)
+		}
 		seen++
-		first, second = reservoir(first, second, c, seen, random)
-	}
-	if second == nil || expected(first, need, now) <= expected(second, need, now) {
-		return first
+		if place < len(drawn) {
+			drawn[place] = c
+		}
 	}
-	return second
+	return best(drawn[:min(seen, len(drawn))], need, now, random)
 }
 
-func reservoir(first, second, c *eelgrasspoint.Candidate, seen int, random *rand.Rand) (*eelgrasspoint.Candidate, *eelgrasspoint.Candidate) {
-	switch seen {
-	case 1:
-		return c, nil
-	case 2:
-		return first, c
+func best(drawn []*eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time, random *rand.Rand) *eelgrasspoint.Candidate {
+	if len(drawn) == 0 {
+		return nil
 	}
-	switch random.IntN(seen) {
-	case 0:
-		return c, second
-	case 1:
-		return first, c
+	usual := usualLatency(drawn)
+	first := random.IntN(len(drawn))
+	chosen, least := drawn[first], expected(drawn[first], need, now, usual)
+	for step := 1; step < len(drawn); step++ {
+		c := drawn[(first+step)%len(drawn)]
+		if e := expected(c, need, now, usual); e < least {
+			chosen, least = c, e
+		}
 	}
-	return first, second
+	return chosen
+}
+
+// usualLatency is the mean of what was observed, or zero.
+func usualLatency(drawn []*eelgrasspoint.Candidate) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, c := range drawn {
+		if observed := c.Gauge.Observed(); observed > 0 {
+			sum += observed
+			n++
+		}
+	}
+	return sum / time.Duration(max(n, 1))
 }
 
 // hasRoom trusts a full report only while it is fresh.
@@ -118,13 +135,24 @@
 }
 
 // expected estimates how long the request would take at the candidate.
-func expected(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time) float64 {
-	base := c.Gauge.Latency(now) + distance(c, need)
+func expected(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time, usual time.Duration) float64 {
+	// A run is seen half done on average, so twice the age is what it will take at least.
+	base := max(c.Gauge.Latency(now, usual), 2*c.Gauge.Age(now), hinted(c, now, usual)) + distance(c, need)
 	used := utilization(c, now)
 	errors := c.Gauge.ErrorShare(now)
 	return float64(base+time.Millisecond) * (1 + used*used) * (1 + eelgrasspoint.ErrorPenalty*errors)
 }
 
+// hinted is the exit node's own word on how long a run takes; it fades like what was observed.
+func hinted(c *eelgrasspoint.Candidate, now time.Time, usual time.Duration) time.Duration {
+	load, at := c.Gauge.Load()
+	if load.Expected <= usual {
+		return 0
+	}
+	kept := math.Exp2(-float64(now.Sub(at)) / float64(eelgrasspoint.HintHalfLife))
+	return usual + time.Duration(kept*float64(load.Expected-usual))
+}
+
 // distance keeps the preference for the nearer zone where nothing was measured yet; a
 // measured latency already holds the way there.
 func distance(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need) time.Duration {
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -191,6 +191,7 @@
 	}
 	e.mu.Unlock()
 	sample.At = e.options.Clock()
+	sample.Held = sample.At.Sub(r.began)
 	sample.Duration = r.serviceTime(sample.At)
 	if sample.Succeeded {
 		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/retrier"
 )
 
 // rival is one of two attempts that run beside each other.
@@ -46,7 +47,7 @@
 // second returns another candidate if the budget allows one.
 func (p *passage) second() *eelgrasspoint.Candidate {
 	candidate := p.choose()
-	if candidate == nil || !p.forwarder.Retrier.Spend() {
+	if candidate == nil || !p.forwarder.Retrier.Spend(retrier.Hedge) {
 		return nil
 	}
 	p.forwarder.Meter.Hedge(p.meta.Service)
@@ -66,7 +67,7 @@
 }
 
 func (p *passage) hedgeDelay(candidate *eelgrasspoint.Candidate) time.Duration {
-	usual := candidate.Gauge.Latency(p.forwarder.Clock())
+	usual := candidate.Gauge.Observed()
 	return max(eelgrasspoint.HedgeDelayFloor, hedgeFactor*usual)
 }
 
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -83,6 +83,11 @@
 	var last *eelgrasspoint.OutcomeError
 	for {
 		candidate := p.choose()
+		if candidate == nil && last != nil && last.Reason == eelgrasspoint.SlowServer {
+			// A slow backend server is better than none.
+			p.tried = nil
+			candidate = p.choose()
+		}
 		if candidate == nil {
 			return nil, p.noCandidate(last)
 		}
@@ -156,6 +161,7 @@
 	p.tried = append(p.tried, candidate)
 	meta := p.meta
 	meta.Attempt = p.attempts
+	meta.Insists = p.attempts > 0 || !p.forwarder.Retrier.Has(retrier.Redirect)
 	p.attempts++
 	p.forwarder.Meter.Attempt(meta.Service, meta.Attempt)
 	return meta
@@ -165,9 +171,9 @@
 func (p *passage) carry(ctx context.Context, candidate *eelgrasspoint.Candidate, meta eelgrasspoint.Meta, body io.ReadCloser) (*eelgrasspoint.Answer, error) {
 	f := p.forwarder
 	gauge := candidate.Gauge
-	gauge.Begin()
-	p.chargeLink(candidate, max(p.request.ContentLength, 0)+headerAllowance)
 	began := f.Clock()
+	gauge.Begin(began)
+	p.chargeLink(candidate, max(p.request.ContentLength, 0)+headerAllowance)
 	answer, err := p.carrier(candidate).Carry(ctx, candidate, &eelgrasspoint.Attempt{
 		Meta: meta, Method: p.request.Method, Target: p.request.URL.RequestURI(), Host: p.request.Host,
 		Header: p.header, Body: body, Length: p.request.ContentLength,
@@ -177,7 +183,7 @@
 		gauge.SetLoad(answer.Load, now)
 	}
 	if err != nil {
-		gauge.End()
+		gauge.End(began)
 		outcome := asOutcome(err)
 		if outcome.Outcome != eelgrasspoint.NotRun {
 			p.mayHaveRun.Store(true)
@@ -188,7 +194,7 @@
 	gauge.Succeed()
 	gauge.ObserveStatus(serverError(answer.Response.StatusCode), now)
 	gauge.Observe(now.Sub(began), now)
-	answer.Response.Body = &countedBody{ReadCloser: answer.Response.Body, passage: p, candidate: candidate}
+	answer.Response.Body = &countedBody{ReadCloser: answer.Response.Body, passage: p, candidate: candidate, began: began}
 	return answer, nil
 }
 
@@ -245,7 +251,7 @@
 		Err: last, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
 		Attempts: p.attempts, Deadline: p.meta.Deadline,
 	}
-	if !retrier.Allowed(failure, p.forwarder.Clock()) || !p.forwarder.Retrier.Spend() {
+	if !retrier.Allowed(failure, p.forwarder.Clock()) || !p.forwarder.Retrier.Spend(retrier.PurposeOf(last)) {
 		return false
 	}
 	p.record(eelgrasspoint.EventRequestRetried, last.Error())
@@ -293,6 +299,7 @@
 	io.ReadCloser
 	passage   *passage
 	candidate *eelgrasspoint.Candidate
+	began     time.Time
 	ended     bool
 }
 
@@ -307,7 +314,7 @@
 func (b *countedBody) Close() error {
 	if !b.ended {
 		b.ended = true
-		b.candidate.Gauge.End()
+		b.candidate.Gauge.End(b.began)
 	}
 	return b.ReadCloser.Close()
 }
--- a/coordination/limiter/fixed.go
+++ b/coordination/limiter/fixed.go
@@ -1,6 +1,10 @@
 package limiter
 
-import "eelgrasspoint"
+import (
+	"time"
+
+	"eelgrasspoint"
+)
 
 // fixed is the baseline that the adaptive limit is measured against.
 type fixed struct{ slots int }
@@ -10,4 +14,5 @@
 
 func (f *fixed) Limit() int                        { return f.slots }
 func (f *fixed) Observe(eelgrasspoint.Sample) bool { return false }
+func (f *fixed) Watch(time.Duration, time.Time)    {}
 func (f *fixed) Reset(slots int)                   { f.slots = slots }
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -8,15 +8,18 @@
 	"eelgrasspoint"
 )
 
-// Limiter grows its limit by one for each window that was fully used and went well, and
-// shrinks it when latency grows, runs fail or the backend server sheds load.
+// Limiter starts low and grows while windows of runs go well. When latency grows it lowers the
+// limit as an experiment: if latency follows, the backend server had too much at once and the
+// limit goes on falling; if not, the slowness has another cause and the limit goes back.
 type Limiter struct {
 	slots    int
 	limit    float64
-	proven   float64
 	baseline time.Duration
 	baseAt   time.Time
 	window   window
+	trial    *trial
+	// calmUntil keeps slowness that a lower limit did not cure from being tried again at once.
+	calmUntil time.Time
 }
 
 // window sums up the runs that finished since it began.
@@ -29,6 +32,15 @@
 	total     time.Duration
 }
 
+// trial is a lowered limit and what was seen before it.
+type trial struct {
+	at     time.Time
+	limit  float64
+	mean   time.Duration
+	skip   bool
+	proved bool
+}
+
 var _ eelgrasspoint.Limiter = (*Limiter)(nil)
 
 // New returns the limiter of a backend server that has just started with the slots.
@@ -42,7 +54,6 @@
 func (l *Limiter) Reset(slots int) {
 	*l = Limiter{slots: max(slots, eelgrasspoint.MinLimit)}
 	l.limit = math.Min(eelgrasspoint.ColdLimit, float64(l.slots))
-	l.proven = l.limit
 }
 
 // Limit returns the present limit.
@@ -58,57 +69,95 @@
 		return false
 	}
 	l.window.add(sample)
-	if sample.At.Sub(l.window.began) < eelgrasspoint.LimitWindow {
+	if l.window.failing() {
+		l.fall(sample.At)
 		return false
 	}
-	if !l.window.full(l.Limit()) {
+	if sample.At.Sub(l.window.began) < eelgrasspoint.LimitWindow || !l.window.full(l.Limit()) {
 		return false
 	}
 	return l.closeWindow(sample.At)
 }
 
+// Watch lowers the limit when runs take so long that waiting for them to finish would be too
+// late, and again for each window that this lasts.
+func (l *Limiter) Watch(age time.Duration, now time.Time) {
+	if l.baseline == 0 || !now.After(l.calmUntil) {
+		return
+	}
+	// A run is seen half done on average.
+	mean := 2 * age
+	if float64(mean) <= eelgrasspoint.StallTolerance*float64(l.baseline) {
+		return
+	}
+	if l.trial == nil {
+		l.begin(mean, now)
+		return
+	}
+	if now.Sub(l.trial.at) > eelgrasspoint.LimitWindow && l.limit > eelgrasspoint.ColdLimit {
+		l.trial.at = now
+		l.trial.skip = true
+		l.limit = math.Max(eelgrasspoint.ColdLimit, l.limit*eelgrasspoint.ShrinkFactor)
+	}
+}
+
+// closeWindow judges a window and reports whether the backend server turned cold.
 func (l *Limiter) closeWindow(now time.Time) bool {
 	w := l.window
 	l.window = window{began: now}
 	mean := w.mean()
-	if l.turnedCold(w, mean) {
-		l.Reset(l.slots)
-		return true
+	if l.trial != nil {
+		return l.closeTrial(mean, now)
+	}
+	if l.slow(mean) && now.After(l.calmUntil) {
+		l.begin(mean, now)
+		return false
 	}
 	l.learnBaseline(mean, now)
-	switch {
-	case w.failed+w.shed > w.succeeded/10:
-		l.limit = math.Max(eelgrasspoint.MinLimit, l.limit*eelgrasspoint.ShrinkFactor)
-		l.proven = l.limit
-	case l.slow(mean):
-		// Slowness alone may be a neighbor's doing, which a lower limit does not cure.
-		l.limit = math.Max(l.proven/2, l.limit*eelgrasspoint.ShrinkFactor)
-	case w.maxInUse >= l.Limit():
-		l.grow()
+	if !l.slow(mean) && 2*w.maxInUse >= l.Limit() {
+		l.limit = math.Min(float64(l.slots), math.Max(l.limit+1, l.limit*eelgrasspoint.GrowFactor))
 	}
 	return false
 }
 
-// grow returns quickly to a limit that was proven and goes on from there one by one.
-func (l *Limiter) grow() {
-	step := 1.0
-	if l.limit < l.proven {
-		step = math.Max(1, (l.proven-l.limit)/2)
+// begin lowers the limit. The window that follows still holds runs from before.
+func (l *Limiter) begin(mean time.Duration, now time.Time) {
+	l.window = window{began: now}
+	l.trial = &trial{at: now, limit: l.limit, mean: mean, skip: true}
+	l.limit = math.Max(eelgrasspoint.MinLimit, l.limit*eelgrasspoint.ShrinkFactor)
+}
+
+// closeTrial compares latency with what it was at the higher limit.
+func (l *Limiter) closeTrial(mean time.Duration, now time.Time) bool {
+	t := l.trial
+	if t.skip {
+		t.skip = false
+		return false
+	}
+	if float64(mean) > eelgrasspoint.CureShare*float64(t.mean) {
+		l.limit = t.limit
+		l.trial = nil
+		l.calmUntil = now.Add(eelgrasspoint.CalmTime)
+		return false
+	}
+	if !l.slow(mean) || l.limit <= eelgrasspoint.MinLimit {
+		l.trial = nil
+		return t.proved
 	}
-	l.limit = math.Min(float64(l.slots), l.limit+step)
-	l.proven = math.Max(l.proven, l.limit)
+	l.begin(mean, now)
+	l.trial.proved = true
+	return false
 }
 
-func (l *Limiter) slow(mean time.Duration) bool {
-	return l.baseline > 0 && float64(mean) > eelgrasspoint.LatencyTolerance*float64(l.baseline)
+// fall answers failures and shed load at once.
+func (l *Limiter) fall(now time.Time) {
+	l.limit = math.Max(eelgrasspoint.MinLimit, l.limit*eelgrasspoint.ShrinkFactor)
+	l.window = window{began: now}
+	l.trial = nil
 }
 
-// turnedCold needs the jump and a fully used window: a few slow runs are no cold start.
-func (l *Limiter) turnedCold(w window, mean time.Duration) bool {
-	if l.baseline == 0 || w.succeeded == 0 {
-		return false
-	}
-	return float64(mean) > eelgrasspoint.ColdJump*float64(l.baseline)
+func (l *Limiter) slow(mean time.Duration) bool {
+	return l.baseline > 0 && float64(mean) > eelgrasspoint.LatencyTolerance*float64(l.baseline)
 }
 
 func (l *Limiter) learnBaseline(mean time.Duration, now time.Time) {
@@ -138,6 +187,12 @@
 	}
 }
 
+// failing reports whether too many runs of the window went wrong. One alone says nothing.
+func (w *window) failing() bool {
+	bad := w.failed + w.shed
+	return bad >= eelgrasspoint.MinFailures && bad*eelgrasspoint.FailureShare > w.succeeded
+}
+
 // full reports whether the window has enough runs to judge a limit.
 func (w *window) full(limit int) bool {
 	return w.succeeded+w.failed+w.shed >= limit
--- a/limit.go
+++ b/limit.go
@@ -4,8 +4,10 @@
 
 // Sample is one finished run on a backend server.
 type Sample struct {
-	At        time.Time
-	Duration  time.Duration
+	At       time.Time
+	Duration time.Duration
+	// Held is how long the slot was held, which may be longer than the run.
+	Held      time.Duration
 	InUse     int
 	Succeeded bool
 	// Shed is set if the backend server said that it has too much work.
@@ -23,6 +25,8 @@
 	Limit() int
 	// Observe learns from a finished run and reports whether the backend server turned cold.
 	Observe(sample Sample) (cold bool)
+	// Watch learns how long the runs under way have been so on average.
+	Watch(age time.Duration, now time.Time)
 	// Reset starts again for a backend server with the slots, as after a cold start.
 	Reset(slots int)
 }
--- a/member.go
+++ b/member.go
@@ -50,11 +50,14 @@
 	InUse  uint32
 	Limit  uint32
 	Queued uint32
+	// Expected is how long a run takes at present.
+	Expected time.Duration
 }
 
 // Gauge is what one node knows of a backend server's load. It is safe for concurrent use.
 type Gauge struct {
 	inFlight     atomic.Int64
+	begun        atomic.Int64
 	load         atomic.Pointer[timedLoad]
 	latency      atomic.Int64
 	latencyAt    atomic.Int64
@@ -70,10 +73,30 @@
 }
 
 // Begin counts one request on its way.
-func (g *Gauge) Begin() { g.inFlight.Add(1) }
+func (g *Gauge) Begin(now time.Time) {
+	g.begun.Add(now.UnixNano() / gaugeClockUnit)
+	g.inFlight.Add(1)
+}
 
-// End counts one request done.
-func (g *Gauge) End() { g.inFlight.Add(-1) }
+// End counts one request done that began at the time.
+func (g *Gauge) End(began time.Time) {
+	g.inFlight.Add(-1)
+	g.begun.Add(-began.UnixNano() / gaugeClockUnit)
+}
+
+// Age returns how long the requests on their way have been so on average. Where answers stop
+// coming, it grows before any latency is observed.
+func (g *Gauge) Age(now time.Time) time.Duration {
+	n := g.inFlight.Load()
+	if n <= 0 {
+		return 0
+	}
+	mean := now.UnixNano()/gaugeClockUnit - g.begun.Load()/n
+	return max(0, time.Duration(mean*gaugeClockUnit))
+}
+
+// gaugeClockUnit keeps the sum of many start times within 64 bits, in nanoseconds.
+const gaugeClockUnit = int64(time.Microsecond)
 
 // InFlight returns this node's own count of requests on their way.
 func (g *Gauge) InFlight() int64 { return g.inFlight.Load() }
@@ -105,17 +128,22 @@
 	}
 }
 
-// Latency returns the smoothed latency, or zero if none was observed. It fades while
-// nothing is observed, so that a backend server that was slow is tried again.
-func (g *Gauge) Latency(now time.Time) time.Duration {
-	latency := float64(g.latency.Load())
-	age := float64(now.UnixNano() - g.latencyAt.Load())
-	if latency == 0 || age <= 0 {
-		return time.Duration(latency)
+// Latency returns the smoothed latency. While nothing is observed it fades towards what is
+// usual for the others, so that a backend server that was slow is tried again and one that
+// is new is no better than they are.
+func (g *Gauge) Latency(now time.Time, usual time.Duration) time.Duration {
+	latency := g.latency.Load()
+	if latency == 0 {
+		return usual
 	}
-	return time.Duration(latency * math.Exp2(-age/float64(LatencyHalfLife)))
+	age := float64(max(0, now.UnixNano()-g.latencyAt.Load()))
+	kept := math.Exp2(-age / float64(LatencyHalfLife))
+	return usual + time.Duration(kept*float64(latency-int64(usual)))
 }
 
+// Observed returns the last smoothed latency, or zero if none was observed.
+func (g *Gauge) Observed() time.Duration { return time.Duration(g.latency.Load()) }
+
 // ObserveStatus smooths whether an answer was an error of the backend server into the gauge.
 func (g *Gauge) ObserveStatus(failed bool, now time.Time) {
 	g.errorAt.Store(now.UnixNano())
--- a/outcome.go
+++ b/outcome.go
@@ -45,6 +45,7 @@
 	LinkBudget
 	StaleRoute
 	StaleNode
+	SlowServer
 )
 
 // AttemptState is how far one attempt has come.
@@ -96,7 +97,7 @@
 
 // ParseReason returns the reason with the name, or NoReason.
 func ParseReason(name string) Reason {
-	for r := NoReason; r <= StaleNode; r++ {
+	for r := NoReason; r <= SlowServer; r++ {
 		if r.String() == name {
 			return r
 		}
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -24,6 +24,7 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -51,11 +52,12 @@
 	_ = x[LinkBudget-20]
 	_ = x[StaleRoute-21]
 	_ = x[StaleNode-22]
+	_ = x[SlowServer-23]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledKeyInDoubtKeyAlreadyUsedLinkBudgetStaleRouteStaleNode"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledKeyInDoubtKeyAlreadyUsedLinkBudgetStaleRouteStaleNodeSlowServer"
 
-var _Reason_index = [...]uint8{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 218, 228, 238, 247}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 218, 228, 238, 247, 257}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
@@ -64,6 +66,7 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/protocol/labeler/labeler.go
+++ b/protocol/labeler/labeler.go
@@ -21,13 +21,14 @@
 	Fingerprint uint64
 	Remaining   time.Duration
 	Attempt     int
+	Insists     bool
 }
 
 // nodeHeaders are spoken between nodes and taken off everything else.
 var nodeHeaders = []string{
 	eelgrasspoint.HeaderReason, eelgrasspoint.HeaderLoad, eelgrasspoint.HeaderRoute,
 	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
-	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderFrom,
+	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderFrom, eelgrasspoint.HeaderInsists,
 }
 
 // Strip removes the headers that only nodes may set.
@@ -43,6 +44,9 @@
 	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
 	header[eelgrasspoint.HeaderFingerprint] = []string{strconv.FormatUint(meta.Fingerprint, 16)}
 	header[eelgrasspoint.HeaderAttempt] = []string{strconv.Itoa(meta.Attempt)}
+	if meta.Insists {
+		header[eelgrasspoint.HeaderInsists] = []string{"1"}
+	}
 	if meta.Bound() {
 		header[eelgrasspoint.HeaderPermitted] = []string{strings.Join(meta.Permitted, ",")}
 	}
@@ -66,6 +70,7 @@
 		Client:    header.Get(eelgrasspoint.HeaderClient),
 		Route:     header.Get(eelgrasspoint.HeaderRoute),
 	}
+	label.Insists = header.Get(eelgrasspoint.HeaderInsists) != ""
 	var err error
 	if label.Depth, err = strconv.Atoi(header.Get(eelgrasspoint.HeaderDepth)); err != nil {
 		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderDepth, err)
@@ -93,6 +98,8 @@
 	b = strconv.AppendUint(b, uint64(load.Limit), 10)
 	b = append(b, '/')
 	b = strconv.AppendUint(b, uint64(load.Queued), 10)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, load.Expected.Milliseconds(), 10)
 	header[eelgrasspoint.HeaderLoad] = []string{string(b)}
 	return len(eelgrasspoint.HeaderLoad) + len(b)
 }
@@ -100,10 +107,10 @@
 // ReadLoad returns the load hint of an answer and whether there was one.
 func ReadLoad(header http.Header) (eelgrasspoint.Load, bool) {
 	parts := strings.Split(header.Get(eelgrasspoint.HeaderLoad), "/")
-	if len(parts) != 3 {
+	if len(parts) != 4 {
 		return eelgrasspoint.Load{}, false
 	}
-	var numbers [3]uint32
+	var numbers [4]uint32
 	for i, part := range parts {
 		n, err := strconv.ParseUint(part, 10, 32)
 		if err != nil {
@@ -111,5 +118,8 @@
 		}
 		numbers[i] = uint32(n)
 	}
-	return eelgrasspoint.Load{InUse: numbers[0], Limit: numbers[1], Queued: numbers[2]}, true
+	return eelgrasspoint.Load{
+		InUse: numbers[0], Limit: numbers[1], Queued: numbers[2],
+		Expected: time.Duration(numbers[3]) * time.Millisecond,
+	}, true
 }
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -185,12 +185,12 @@
 
 // Load returns the load of a message.
 func Load(m *schema.Load) eelgrasspoint.Load {
-	return eelgrasspoint.Load{InUse: m.GetInUse(), Limit: m.GetLimit(), Queued: m.GetQueued()}
+	return eelgrasspoint.Load{InUse: m.GetInUse(), Limit: m.GetLimit(), Queued: m.GetQueued(), Expected: m.GetExpected().AsDuration()}
 }
 
 // LoadMessage returns the message of a load.
 func LoadMessage(l eelgrasspoint.Load) *schema.Load {
-	return &schema.Load{InUse: l.InUse, Limit: l.Limit, Queued: l.Queued}
+	return &schema.Load{InUse: l.InUse, Limit: l.Limit, Queued: l.Queued, Expected: durationpb.New(l.Expected)}
 }
 
 // EventMessage returns the message of an event.
--- a/request.go
+++ b/request.go
@@ -24,6 +24,8 @@
 	Key         string
 	Fingerprint uint64
 	Attempt     int
+	// Insists tells an exit node not to refuse only because its backend server is slow.
+	Insists bool
 }
 
 // Bound reports whether the request is bound to home regions.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -33,6 +33,9 @@
 	// ColdTime is how long after the start a run takes ColdFactor times as long.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// ColdSlots, unless zero, is what a cold backend server can run at once: each run more
+	// makes all slower, so that it gets less and less done.
+	ColdSlots int
 	// Noise makes it slow now and then, as a neighbor on the same hardware does.
 	Noise Noise
 	// Full makes it shed every request.
@@ -154,11 +157,20 @@
 	b.maxInUse = max(b.maxInUse, b.inUse)
 	took := time.Duration(float64(b.behavior.ServiceTime) * b.behavior.Noise.factor(time.Now()))
 	if time.Since(b.startedAt) < b.behavior.ColdTime {
-		took = time.Duration(float64(took) * b.behavior.ColdFactor)
+		took = time.Duration(float64(took) * b.behavior.ColdFactor * b.collapse())
 	}
 	return b.behavior, took
 }
 
+// collapse returns how much longer a run takes that a cold backend server has no room for.
+func (b *Backend) collapse() float64 {
+	if b.behavior.ColdSlots == 0 || b.inUse <= b.behavior.ColdSlots {
+		return 1
+	}
+	over := float64(b.inUse) / float64(b.behavior.ColdSlots)
+	return over * over
+}
+
 func (b *Backend) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/standin/proof/traces_test.go
+++ b/standin/proof/traces_test.go
@@ -40,6 +40,7 @@
 			for _, failure := range r.Failures() {
 				t.Error(failure)
 			}
+			t.Log(r.Unserved())
 			t.Logf("%.0f requests, answered %.4f, weight %.4f, p50 %.1f ms, p99 %.1f ms, runs per request %.3f",
 				r.Measure("Requests", ""), r.Measure("AnsweredShare", ""), r.Measure("ServedWeight", ""),
 				r.Measure("P50", ""), r.Measure("P99", ""), r.Measure("RunsPerRequest", ""))
--- a/standin/replay/measures.go
+++ b/standin/replay/measures.go
@@ -1,7 +1,9 @@
 package replay
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +23,7 @@
 	"WrongAnswers":     wrongAnswers,
 	"OutsideHome":      outsideHome,
 	"RunsPerRequest":   runsPerRequest,
+	"ServedOfPossible": servedOfPossible,
 	"QuarantinedShare": quarantinedShare,
 	"CrashesPerPoison": crashesPerPoison,
 	"Crashes":          crashes,
@@ -50,6 +53,24 @@
 	return failures
 }
 
+// Unserved counts, by path, outcome and reason, the requests that were not served.
+func (r *Replay) Unserved() map[string]int {
+	counts := make(map[string]int)
+	for _, result := range r.results {
+		if !result.served() {
+			counts[fmt.Sprintf("%s %s %d %s", result.Requests.Path, result.Outcome, result.Status, result.reason())]++
+		}
+	}
+	return counts
+}
+
+// reason reads the reason from the body of a refusal.
+func (result *Result) reason() string {
+	var refusal struct{ Reason string }
+	_ = json.Unmarshal([]byte(result.Reason), &refusal)
+	return refusal.Reason
+}
+
 // of returns the results of a path.
 func (r *Replay) of(path string) []*Result {
 	var found []*Result
@@ -98,6 +119,44 @@
 	return served / max(all, 1)
 }
 
+// servedOfPossible relates the weight that was served to the most that the slots of all servers
+// could have carried, the heaviest requests first, while the requests came.
+func servedOfPossible(r *Replay, path string) float64 {
+	var served float64
+	count := make(map[float64]float64)
+	first, last := time.Hour, time.Duration(0)
+	for _, result := range r.of(path) {
+		weight := max(result.Requests.Weight, 1)
+		count[weight]++
+		if result.served() {
+			served += weight
+		}
+		first = min(first, result.Requests.At)
+		last = max(last, result.Requests.At+result.Requests.For)
+	}
+	return served / max(possible(count, r.capacity(last-first)), 1)
+}
+
+// possible fills the capacity with the heaviest requests.
+func possible(count map[float64]float64, capacity float64) float64 {
+	total := 0.0
+	for _, weight := range slices.Backward(slices.Sorted(maps.Keys(count))) {
+		runs := min(count[weight], capacity)
+		capacity -= runs
+		total += runs * weight
+	}
+	return total
+}
+
+// capacity is the number of requests that all slots can run in the time.
+func (r *Replay) capacity(time time.Duration) float64 {
+	capacity := 0.0
+	for _, group := range r.trace.Servers {
+		capacity += float64(group.Count*group.Slots) * float64(time) / float64(group.ServiceTime)
+	}
+	return capacity
+}
+
 func (r *Replay) percentile(path string, p float64) float64 {
 	histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for _, result := range r.of(path) {
@@ -223,7 +282,7 @@
 }
 
 func linkRate(r *Replay, _ string) float64 {
-	return float64(r.stage.Network.LinkBytes()) / time.Since(r.began).Seconds()
+	return float64(r.stage.Network.LinkBytes()) / r.lasted.Seconds()
 }
 
 func maxRunsAtOnce(r *Replay, path string) float64 {
--- a/standin/replay/replay.go
+++ b/standin/replay/replay.go
@@ -23,6 +23,7 @@
 	stage  *stage.Stage
 	random *rand.Rand
 	began  time.Time
+	lasted time.Duration
 
 	mu      sync.Mutex
 	results []*Result
@@ -85,6 +86,7 @@
 		r.group.Go(func() { r.inject(fault) })
 	}
 	r.group.Wait()
+	r.lasted = time.Since(r.began)
 	time.Sleep(settle)
 	for _, client := range r.clients {
 		client.CloseIdleConnections()
@@ -99,7 +101,7 @@
 	for _, group := range r.trace.Servers {
 		for range group.Count {
 			r.stage.Add(group.Region, group.Zone, group.Service, group.Slots, backend.Behavior{
-				ServiceTime: group.ServiceTime, ColdTime: group.ColdTime, ColdFactor: max(group.ColdFactor, 1),
+				ServiceTime: group.ServiceTime, ColdTime: group.ColdTime, ColdFactor: max(group.ColdFactor, 1), ColdSlots: group.ColdSlots,
 				Noise: backend.Noise{
 					Every: group.NoiseEvery, Share: group.NoiseShare, Factor: group.NoiseFactor,
 					Seed: r.trace.Seed*1000 + uint64(len(r.stage.Nodes)),
@@ -138,7 +140,7 @@
 	return eelgrasspoint.Route{
 		Name: strings.Join(parts, "-"), PathPrefix: q.Path, Service: parts[0], Kind: parts[len(parts)-1],
 		Weight: uint32(max(q.Weight, 1)), Idempotent: !q.Once, TimeLimit: max(q.Timeout, time.Second), HomeRegions: q.Home,
-		Hedge: strings.HasSuffix(q.Path, "hedged"),
+		Hedge: q.Hedge && !q.Once,
 	}
 }
 
--- a/standin/replay/trace.go
+++ b/standin/replay/trace.go
@@ -31,6 +31,7 @@
 	ServiceTime time.Duration
 	ColdTime    time.Duration
 	ColdFactor  float64
+	ColdSlots   int
 	NoiseEvery  time.Duration
 	NoiseShare  float64
 	NoiseFactor float64
@@ -56,6 +57,8 @@
 	// Keyed gives each request an Idempotency-Key, kept when it is sent again.
 	Keyed bool
 	Crash bool
+	// Hedge lets the requests be sent a second time when the first is slow.
+	Hedge bool
 	// Home are the regions that the requests may run in; none means all.
 	Home []string
 }
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -62,8 +62,11 @@
 	stopBackend context.CancelFunc
 	server      *http.Server
 	starts      uint64
-	backends    []*backend.Backend
-	crashes     atomic.Int64
+	// process is held while the node's process is started or stopped.
+	process  chan struct{}
+	running  bool
+	backends []*backend.Backend
+	crashes  atomic.Int64
 }
 
 // Ports of every host.
@@ -100,7 +103,7 @@
 	s.Network.Add(host, network.Host{Region: region, AvailabilityZone: zone})
 	n := &Node{
 		Name: fmt.Sprintf("%s-%s-%d", zone, service, number), Region: region, Zone: zone, Service: service,
-		Host: host, stage: s, slots: slots, behavior: behavior,
+		Host: host, stage: s, slots: slots, behavior: behavior, process: make(chan struct{}, 1),
 	}
 	n.Settings = &loader.Settings{
 		Name: n.Name, Cluster: "stage", Region: region, AvailabilityZone: zone,
@@ -150,8 +153,14 @@
 // ControlURL returns the address for operators.
 func (n *Node) ControlURL() string { return "http://" + n.at(controlPort).String() }
 
-// StartNode starts the node's process, as if it were new.
+// StartNode starts the node's process, as if it were new, unless it runs.
 func (n *Node) StartNode() {
+	n.process <- struct{}{}
+	defer func() { <-n.process }()
+	if n.running {
+		return
+	}
+	n.running = true
 	n.Log = logrus.New()
 	n.Log.SetOutput(io.Discard)
 	n.starts++
@@ -184,12 +193,18 @@
 
 // StopNode stops the node gracefully and waits for its end.
 func (n *Node) StopNode() {
+	n.process <- struct{}{}
+	defer func() { <-n.process }()
+	n.running = false
 	n.stopNode()
 	<-n.nodeEnded
 }
 
 // KillNode ends the node's process at once.
 func (n *Node) KillNode() {
+	n.process <- struct{}{}
+	defer func() { <-n.process }()
+	n.running = false
 	n.stage.Network.Kill(n.at(callerPort), n.at(peerPort), n.at(controlPort))
 	n.Runner.Abort()
 	n.stage.Network.Reset(n.Host)
@@ -219,9 +234,14 @@
 func (n *Node) StopBackend() {
 	n.stopBackend()
 	backend.Leave(n.announcer(), n.at(controlPort))
-	_ = n.server.Shutdown(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	_ = n.server.Shutdown(ctx)
 }
 
+// stopLimit is how long a backend server waits for what it runs.
+const stopLimit = 10 * time.Second
+
 func (n *Node) announcer() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: n.stage.Network.Dial(n.Host), DisableKeepAlives: true}}
 }
--- a/transport/answerer/answerer.go
+++ b/transport/answerer/answerer.go
@@ -69,7 +69,7 @@
 	label, err := labeler.Read(r.Header)
 	meta := &eelgrasspoint.Meta{
 		RequestID: label.RequestID, Client: label.Client, Route: label.Route, Depth: label.Depth,
-		Fingerprint: label.Fingerprint, Attempt: label.Attempt,
+		Fingerprint: label.Fingerprint, Attempt: label.Attempt, Insists: label.Insists,
 		Deadline: a.Clock().Add(label.Remaining), Permitted: label.Permitted,
 	}
 	if err != nil {
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -83,6 +83,9 @@
 		Body:          attempt.Body,
 		ContentLength: attempt.Length,
 	}
+	if attempt.Length == 0 {
+		request.Body = http.NoBody
+	}
 	if attempt.Length < 0 || attempt.Length > eelgrasspoint.MaxReplayBytes {
 		// The exit node refuses before a long body is sent.
 		header["Expect"] = []string{"100-continue"}
