--- a/constants.go
+++ b/constants.go
@@ -48,31 +48,31 @@
 
 // Admission at the exit node.
 const (
-	ColdLimit            = 2
-	MinLimit             = 1
-	DefaultSlots         = 16
-	DefaultConnections   = 256
-	LimitWindow          = 50 * time.Millisecond
-	BaselineWindow       = 30 * time.Second
-	LatencyTolerance     = 2.0
-	ShrinkFactor         = 0.7
-	StallTolerance       = 4.0
-	GrowFactor           = 1.5
-	CureShare            = 0.85
-	SlowTolerance        = 3.0
-	SlowEvidenceTime     = 300 * time.Millisecond
-	RecentSmoothing      = 0.5
-	TypicalSmoothing     = 0.02
-	CalmTime             = time.Second
-	MinFailures          = 2
-	FailureShare         = 10
-	MaxQueueShare        = 2
-	MaxQueueWait         = 250 * time.Millisecond
-	SuspectRequestTime   = 10 * time.Minute
-	CrashSettleTime      = 2 * time.Second
-	MaxSuspectRequests   = 4096
-	ConnectTimeout       = time.Second
-	BackendFirstByteTime = 30 * time.Second
+	ColdLimit          = 2
+	MinLimit           = 1
+	DefaultSlots       = 16
+	DefaultConnections = 256
+	LimitWindow        = 50 * time.Millisecond
+	BaselineWindow     = 30 * time.Second
+	LatencyTolerance   = 2.0
+	ShrinkFactor       = 0.7
+	StallTolerance     = 4.0
+	GrowFactor         = 1.5
+	CureShare          = 0.85
+	SlowTolerance      = 3.0
+	SlowEvidenceTime   = 300 * time.Millisecond
+	RecentSmoothing    = 0.5
+	TypicalSmoothing   = 0.02
+	CalmTime           = time.Second
+	MinFailures        = 2
+	FailureShare       = 10
+	MaxQueueShare      = 2
+	MaxQueueWait       = 250 * time.Millisecond
+	SuspectRequestTime = 10 * time.Minute
+	CrashSettleTime    = 2 * time.Second
+	MaxSuspectRequests = 4096
+	ConnectTimeout     = time.Second
+	BackendIdleTime    = time.Second
 )
 
 // Connections between nodes.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -222,7 +222,8 @@
 		DisableCompression:  true,
 		MaxConnsPerHost:     int(backend.Connections),
 		MaxIdleConnsPerHost: int(backend.Connections),
-		IdleConnTimeout:     eelgrasspoint.PeerIdleTime,
+		// A connection kept for long may have gone silent; a new one costs about a millisecond.
+		IdleConnTimeout: eelgrasspoint.BackendIdleTime,
 	}
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -42,6 +42,8 @@
 	Full bool
 	// FailFast makes it answer every request with an error at once.
 	FailFast bool
+	// Drop makes it close the connection after it ran a request, without an answer.
+	Drop bool
 	// TruncateAfter breaks off every answer after so many bytes, unless zero.
 	TruncateAfter int
 }
@@ -127,6 +129,9 @@
 	if !b.work(r, took) {
 		return
 	}
+	if behavior.Drop {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Standin-Service", b.service)
 	w.Header().Set(HeaderEcho, r.Header.Get("Eelgrass-Request-Id"))
 	b.answer(w, r, behavior)
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -38,6 +38,7 @@
 	if isClosed(c.writeBy.wait()) {
 		return 0, os.ErrDeadlineExceeded
 	}
+	c.network.show(c, p)
 	return c.out.write(p, c.network.arrival(c, len(p)))
 }
 
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -30,6 +30,7 @@
 	cut       bool
 	linkFree  map[string]time.Time
 	linkBytes int64
+	tap       func(from, to Host, data []byte)
 }
 
 // Shape is what the network is like without faults.
@@ -137,6 +138,22 @@
 	n.cut = false
 }
 
+// Tap shows every write between hosts to a function.
+func (n *Network) Tap(tap func(from, to Host, data []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tap = tap
+}
+
+func (n *Network) show(c *conn, data []byte) {
+	n.mu.Lock()
+	tap, from, to := n.tap, n.hosts[c.local.Addr()], n.hosts[c.remote.Addr()]
+	n.mu.Unlock()
+	if tap != nil {
+		tap(from, to, data)
+	}
+}
+
 // LinkBytes returns the bytes that went between regions.
 func (n *Network) LinkBytes() int64 {
 	n.mu.Lock()
--- a/standin/stage/configuration.go
+++ b/standin/stage/configuration.go
@@ -74,3 +74,14 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: s.Network.Dial(s.client), DisableKeepAlives: true}}
 	return schema.NewOperatorsProtobufClient(n.ControlURL(), client), client.CloseIdleConnections
 }
+
+// Timeline returns the events of all nodes that a node may show.
+func (s *Stage) Timeline(ctx context.Context, n *Node) []*schema.Event {
+	client, done := s.operators(n)
+	defer done()
+	response, err := client.Timeline(ctx, &schema.TimelineRequest{Everywhere: true})
+	if err != nil {
+		return nil
+	}
+	return response.GetEvents()
+}
