--- a/constants.go
+++ b/constants.go
@@ -60,6 +60,7 @@
 	GrowFactor         = 1.5
 	CureShare          = 0.85
 	SlowTolerance      = 3.0
+	SlowFloor          = 5 * time.Millisecond
 	SlowEvidenceTime   = 300 * time.Millisecond
 	RecentSmoothing    = 0.5
 	TypicalSmoothing   = 0.02
--- a/coordination/admitter/speed.go
+++ b/coordination/admitter/speed.go
@@ -34,8 +34,9 @@
 
 // slow reports whether another backend server is the better choice for a moment.
 func (s *speed) slow(age time.Duration, now time.Time) bool {
-	if s.typical == 0 {
+	expected := s.expected(age, now)
+	if s.typical == 0 || expected < s.typical+eelgrasspoint.SlowFloor {
 		return false
 	}
-	return float64(s.expected(age, now)) > eelgrasspoint.SlowTolerance*float64(s.typical)
+	return float64(expected) > eelgrasspoint.SlowTolerance*float64(s.typical)
 }
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -82,12 +82,9 @@
 // Watch lowers the limit when runs take so long that waiting for them to finish would be too
 // late, and again for each window that this lasts.
 func (l *Limiter) Watch(age time.Duration, now time.Time) {
-	if l.baseline == 0 || !now.After(l.calmUntil) {
-		return
-	}
 	// A run is seen half done on average.
 	mean := 2 * age
-	if float64(mean) <= eelgrasspoint.StallTolerance*float64(l.baseline) {
+	if !l.above(mean, eelgrasspoint.StallTolerance) || !now.After(l.calmUntil) {
 		return
 	}
 	if l.trial == nil {
@@ -157,7 +154,15 @@
 }
 
 func (l *Limiter) slow(mean time.Duration) bool {
-	return l.baseline > 0 && float64(mean) > eelgrasspoint.LatencyTolerance*float64(l.baseline)
+	return l.above(mean, eelgrasspoint.LatencyTolerance)
+}
+
+// above leaves out what is too short to tell from the scheduling of the machine.
+func (l *Limiter) above(mean time.Duration, tolerance float64) bool {
+	if l.baseline == 0 || mean < l.baseline+eelgrasspoint.SlowFloor {
+		return false
+	}
+	return float64(mean) > tolerance*float64(l.baseline)
 }
 
 func (l *Limiter) learnBaseline(mean time.Duration, now time.Time) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -96,7 +96,7 @@
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
-	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.aliveMembers})
+	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.aliveMembers, ControlBytes: r.control.Bytes})
 	r.link = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
 	r.measuring = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
 	r.buildTraffic()
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -29,3 +29,9 @@
 func (r *Runner) Abort() {
 	r.abortOnce.Do(func() { close(r.aborted) })
 }
+
+// View returns what the node knows of the others at this moment.
+func (r *Runner) View() *eelgrasspoint.View { return r.controller.View() }
+
+// ControlBytes returns the bytes of the exchange between nodes that this node began.
+func (r *Runner) ControlBytes() (read, written int64) { return r.control.Bytes() }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -32,6 +32,8 @@
 	Delay time.Duration
 	// LoseAnswers is the number of writes to come that take effect without an answer.
 	LoseAnswers int
+	// DownAfterLoss makes it go down after an answer was lost.
+	DownAfterLoss bool
 	// DropWrites is the number of writes to come that neither take effect nor are answered.
 	DropWrites int
 }
@@ -76,11 +78,18 @@
 	}
 	if write && p.take(func(f *Faults) *int { return &f.LoseAnswers }) {
 		p.mux.ServeHTTP(discard{}, r)
+		p.fallAfterLoss()
 		panic(http.ErrAbortHandler)
 	}
 	p.mux.ServeHTTP(w, r)
 }
 
+func (p *Platform) fallAfterLoss() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.Down = p.faults.DownAfterLoss
+}
+
 func (p *Platform) control(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
--- a/standin/proof/faults_test.go
+++ b/standin/proof/faults_test.go
@@ -1,8 +1,13 @@
 package proof
 
-import "eelgrasspoint/standin/platform"
+import (
+	"eelgrasspoint"
+	"eelgrasspoint/standin/platform"
+)
 
 var (
 	platformDown     = platform.Faults{Down: true}
 	platformLosesOne = platform.Faults{LoseAnswers: 1}
 )
+
+func serviceNamed(name string) eelgrasspoint.Service { return eelgrasspoint.Service{Name: name} }
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -21,6 +21,7 @@
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/tablecaller"
+	"eelgrasspoint/transport/caller"
 )
 
 // Stage holds everything that one test runs.
@@ -138,6 +139,11 @@
 	return &http.Client{Transport: &http.Transport{DialContext: s.Network.Dial(s.client), DisableCompression: true, MaxIdleConnsPerHost: 512}}
 }
 
+// PeerClient returns an HTTP/2 client that speaks to the nodes' own port.
+func (s *Stage) PeerClient() *http.Client {
+	return &http.Client{Transport: caller.NewTransport(s.Network.Dial(s.client))}
+}
+
 // ClientIn returns an HTTP client of callers in the zone of a node.
 func (s *Stage) ClientIn(n *Node) *http.Client {
 	host := netip.AddrFrom4([4]byte{10, 254, 0, byte(len(n.Zone) + len(s.Nodes))})
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -28,6 +28,8 @@
 	Load     func() eelgrasspoint.Load
 	Revision func() uint64
 	Members  func() int
+	// ControlBytes are the bytes of the exchange that the node began.
+	ControlBytes func() (read, written int64)
 }
 
 const namespace = "eelgrass"
@@ -103,6 +105,13 @@
 	gauge("backend_limit", "Requests that the backend server beside the node may run at once.", func() float64 { return float64(source.Load().Limit) })
 	gauge("backend_queued", "Requests that wait for the backend server beside the node.", func() float64 { return float64(source.Load().Queued) })
 	gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(source.Revision()) })
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "exchange_bytes_total",
+		Help: "Bytes read and written on the connections that the node opened for the exchange with others.",
+	}, func() float64 {
+		read, written := source.ControlBytes()
+		return float64(read + written)
+	}))
 	gauge("members", "Nodes known to be alive.", func() float64 { return float64(source.Members()) })
 }
 
