--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -132,8 +132,13 @@
 		case answers[i]:
 			answered++
 			o.setFailures(m.Name, 0)
-		case o.addFailure(m.Name) >= eelgrasspoint.HeartbeatFailures:
-			failed = append(failed, m)
+		default:
+			o.options.Recorder.Record(eelgrasspoint.Event{
+				Number: eelgrasspoint.EventPeerSilent, AvailabilityZone: m.AvailabilityZone, Detail: m.Name,
+			})
+			if o.addFailure(m.Name) >= eelgrasspoint.HeartbeatFailures {
+				failed = append(failed, m)
+			}
 		}
 	}
 	if len(failed) == 0 {
--- /dev/null
+++ b/coordination/router/router_test.go
@@ -0,0 +1,85 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/router"
+)
+
+var document = &eelgrasspoint.Document{
+	Routes: []eelgrasspoint.Route{
+		{Name: "all", PathPrefix: "/"},
+		{Name: "lots", PathPrefix: "/lots", HomeRegions: []string{"norte", "alentejo"}},
+		{Name: "bids", PathPrefix: "/lots/bids", Methods: []string{"POST"}},
+		{Name: "hosted", Host: "desk.example", PathPrefix: "/lots"},
+	},
+	Clients: []eelgrasspoint.Client{
+		{Name: "north", HomeRegions: []string{"norte"}},
+		{Name: "elsewhere", HomeRegions: []string{"outra"}},
+	},
+}
+
+func TestMatch(t *testing.T) {
+	r := router.New(document)
+	cases := []struct{ host, path, method, route string }{
+		{"", "/", "GET", "all"},
+		{"", "/lots", "GET", "lots"},
+		{"", "/lots/7", "GET", "lots"},
+		{"", "/lotsize", "GET", "all"},
+		{"", "/lots/bids/1", "POST", "bids"},
+		{"", "/lots/bids/1", "GET", "lots"},
+		{"desk.example", "/lots/bids", "POST", "hosted"},
+		{"desk.example", "/other", "GET", "all"},
+	}
+	for _, c := range cases {
+		got := r.Match(c.host, c.path, c.method)
+		assert.Assert(t, got != nil, "%+v", c)
+		assert.Equal(t, got.Name, c.route, "%+v", c)
+	}
+	assert.Assert(t, router.New(&eelgrasspoint.Document{}).Match("", "/", "GET") == nil)
+}
+
+func TestPermitted(t *testing.T) {
+	r := router.New(document)
+	cases := []struct {
+		route, client string
+		regions       []string
+		lawful        bool
+	}{
+		{"all", "", nil, true},
+		{"all", "unknown", nil, true},
+		{"all", "north", []string{"norte"}, true},
+		{"lots", "", []string{"norte", "alentejo"}, true},
+		{"lots", "north", []string{"norte"}, true},
+		{"lots", "elsewhere", []string{}, false},
+	}
+	for _, c := range cases {
+		regions, lawful := r.Permitted(r.Route(c.route), c.client)
+		assert.Equal(t, lawful, c.lawful, "%+v", c)
+		assert.DeepEqual(t, regions, c.regions)
+	}
+}
+
+func ExampleRouter_Match() {
+	r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{{Name: "catalogue", PathPrefix: "/catalogue"}}})
+	fmt.Println(r.Match("", "/catalogue/7", "GET").Name)
+	// Output: catalogue
+}
+
+func BenchmarkMatch(b *testing.B) {
+	large := &eelgrasspoint.Document{}
+	for i := range 500 {
+		large.Routes = append(large.Routes, eelgrasspoint.Route{Name: fmt.Sprint(i), PathPrefix: fmt.Sprintf("/service-%d/kind", i)})
+	}
+	r := router.New(large)
+	b.ReportAllocs()
+	for b.Loop() {
+		if r.Match("host", "/service-250/kind/7", "GET") == nil {
+			b.Fatal("no route")
+		}
+	}
+}
--- /dev/null
+++ b/protocol/announcer/announcer_test.go
@@ -0,0 +1,41 @@
+package announcer_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint/protocol/announcer"
+)
+
+func TestParse(t *testing.T) {
+	backend, mistakes := announcer.Parse([]byte(`{"Service": "bench", "Address": "10.0.0.1:80", "Incarnation": 7, "Slots": 13}`))
+	assert.Equal(t, len(mistakes), 0, "%v", mistakes)
+	assert.Equal(t, backend.Slots, uint32(13))
+	assert.Equal(t, backend.Connections, uint32(256))
+}
+
+func TestParseListsEveryMistake(t *testing.T) {
+	_, mistakes := announcer.Parse([]byte(`{"Service": "no spaces", "Slots": 0, "Connections": 1000000}`))
+	paths := make([]string, len(mistakes))
+	for i, m := range mistakes {
+		paths[i] = m.Path
+	}
+	assert.Equal(t, strings.Join(paths, " "), "Service Address Slots Connections")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"Service": "bench", "Address": "10.0.0.1:80"}`))
+	f.Add([]byte(`{"Slots": -1}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		backend, mistakes := announcer.Parse(data)
+		if (backend == nil) == (len(mistakes) == 0) {
+			t.Fatalf("%v with %v", backend, mistakes)
+		}
+		if backend != nil && (backend.Slots == 0 || !backend.Address.IsValid()) {
+			t.Fatalf("accepted %+v", backend)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/labeler/labeler_test.go
@@ -0,0 +1,54 @@
+package labeler_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/labeler"
+)
+
+func TestLabelThereAndBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	meta := &eelgrasspoint.Meta{
+		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
+		Fingerprint: 0xfeed, Attempt: 1, Insists: true, Deadline: now.Add(1500 * time.Millisecond),
+	}
+	header := http.Header{}
+	labeler.Write(header, meta, now)
+	label, err := labeler.Read(header)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, label, labeler.Label{
+		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
+		Fingerprint: 0xfeed, Attempt: 1, Insists: true, Remaining: 1500 * time.Millisecond,
+	})
+	labeler.Strip(header)
+	assert.Equal(t, header.Get(eelgrasspoint.HeaderRoute), "")
+	assert.Equal(t, header.Get(eelgrasspoint.HeaderRequestID), "r")
+}
+
+func TestLoadThereAndBack(t *testing.T) {
+	load := eelgrasspoint.Load{InUse: 3, Limit: 13, Queued: 2, Expected: 20 * time.Millisecond}
+	header := http.Header{}
+	assert.Assert(t, labeler.WriteLoad(header, load) < 40)
+	got, ok := labeler.ReadLoad(header)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, load)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("r", "3", "feed", "1s", "1", "3/13/0/20")
+	f.Fuzz(func(t *testing.T, route, depth, fingerprint, timeout, attempt, load string) {
+		header := http.Header{
+			eelgrasspoint.HeaderRoute: {route}, eelgrasspoint.HeaderDepth: {depth}, eelgrasspoint.HeaderFingerprint: {fingerprint},
+			eelgrasspoint.HeaderTimeout: {timeout}, eelgrasspoint.HeaderAttempt: {attempt}, eelgrasspoint.HeaderLoad: {load},
+		}
+		_, _ = labeler.Read(header)
+		if got, ok := labeler.ReadLoad(header); !ok && got != (eelgrasspoint.Load{}) {
+			t.Fatalf("%+v", got)
+		}
+	})
+}
--- a/standin/cmd/measure/control.go
+++ b/standin/cmd/measure/control.go
@@ -35,8 +35,14 @@
 	messages float64
 	store    float64
 	resident float64
+	kinds    []float64
 }
 
+// messagesFamily counts the messages that a node began, by kind.
+const messagesFamily = "eelgrass_exchange_messages_total"
+
+func kindLabel(kind string) string { return `kind="` + kind + `"}` }
+
 // measureControl starts nodes without backend servers and without requests, so that whatever
 // they spend is control.
 func measureControl(c *cluster.Cluster, size int) error {
@@ -70,7 +76,8 @@
 	for i, n := range c.Nodes {
 		v := values(n)
 		readings[i] = reading{
-			cpu: n.Process.CPUTime(), bytes: v["eelgrass_exchange_bytes_total"], messages: v["eelgrass_exchange_messages_total"],
+			cpu: n.Process.CPUTime(), bytes: v["eelgrass_exchange_bytes_total"], messages: v[messagesFamily],
+			kinds: []float64{v[kindLabel("Converse")], v[kindLabel("Changes")], v[kindLabel("Members")]},
 			store: v["eelgrass_store_calls_total"], resident: float64(n.Process.ResidentBytes()),
 		}
 	}
@@ -91,6 +98,13 @@
 		most = max(most, after[i].resident)
 	}
 	n, seconds := float64(len(after)), controlTime.Seconds()
+	kinds := make([]float64, 3)
+	for i := range after {
+		for k := range kinds {
+			kinds[k] += (after[i].kinds[k] - before[i].kinds[k]) / n / seconds
+		}
+	}
+	fmt.Printf("%4d nodes: messages/s begun per node: heartbeats %.3f, changes %.3f, lists of members %.4f\n", size, kinds[0], kinds[1], kinds[2])
 	fmt.Printf("%4d nodes (%.0f known): %.3f%% of a core, %.0f B/s exchanged, %.2f messages/s begun, %.3f store calls/s, %.1f MB (most %.1f) per node; %v\n",
 		size, known, 100*cpu.Seconds()/n/seconds, 2*bytes/n/seconds, messages/n/seconds, store/n/seconds,
 		resident/n/(1<<20), most/(1<<20), took.Round(time.Second))
@@ -127,9 +141,14 @@
 		if !found || strings.HasPrefix(name, "#") {
 			continue
 		}
-		name, _, _ = strings.Cut(name, "{")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			sums[name] += v
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		family, labels, _ := strings.Cut(name, "{")
+		sums[family] += v
+		if family == messagesFamily {
+			sums[labels] += v
 		}
 	}
 	return sums
--- /dev/null
+++ b/standin/replay/trace_test.go
@@ -0,0 +1,30 @@
+package replay_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/standin/replay"
+)
+
+func TestParseNamesLines(t *testing.T) {
+	_, err := replay.Parse([]byte("{\"Seed\": 1}\n{\"Servers\": {\"Count\": 0}}\n{\"Fault\": {\"Kind\": \"Flood\"}}\n{\"Colour\": 1}\n"))
+	var invalid *eelgrasspoint.InvalidError
+	assert.Assert(t, errors.As(err, &invalid))
+	assert.Equal(t, len(invalid.Mistakes), 5, "%v", err)
+	assert.Equal(t, invalid.Mistakes[0].Path, "line 2: Servers.Count")
+	assert.Equal(t, invalid.Mistakes[4].Path, "line 4: Colour")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("{\"Seed\": 1}\n{\"Requests\": {\"Rate\": 1, \"For\": \"1s\", \"Zone\": \"a\"}}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		trace, err := replay.Parse(data)
+		if (trace == nil) == (err == nil) {
+			t.Fatalf("%v with %v", trace, err)
+		}
+	})
+}
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -67,6 +69,7 @@
 	}
 	mistakes = append(mistakes, withoutRepeats(settings.check(), mistakes)...)
 	if len(mistakes) > 0 {
+		slices.SortStableFunc(mistakes, func(a, b eelgrasspoint.Mistake) int { return strings.Compare(a.Path, b.Path) })
 		return nil, &eelgrasspoint.InvalidError{Mistakes: mistakes}
 	}
 	return settings, nil
