The age of runs drifted; console; queue bounded by time

Cause: 64 callers without pause got 1,100 calls/s over one hop and 38,000 refusals a second; the limit stood at 1 of 64 slots. The moment that a slot was taken and the moment that was given back differed by microseconds for each run, so that under load without a break the age of what ran grew without bound and the limiter took it for a stall.

Ruled out: the floor of 5 ms alone (1,100 calls/s still), the short queue alone (6,150 calls/s, limit still 1).

The queue is bounded by time, 120 ms, and 64 places at least. A request that was redirected is never refused for the redirect's budget.

Also: eelgrassctl console, a page by iris on loopback.

--- a/cmd/eelgrassctl/console.go
+++ b/cmd/eelgrassctl/console.go
@@ -1,5 +1,115 @@
 package main
 
-import "context"
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
-func (s *session) console(context.Context) int { return exitFailed }
+	"github.com/kataras/iris/v12"
+
+	"eelgrasspoint/protocol/schema"
+)
+
+//go:embed console.html
+var consolePage []byte
+
+// consoleEvents bounds the events that the page shows.
+const consoleEvents = 500
+
+// stopWait bounds the end of the page's server.
+const stopWait = 2 * time.Second
+
+// console serves the page until it is interrupted.
+func (s *session) console(ctx context.Context) int {
+	app := iris.New()
+	app.Logger().SetLevel("error")
+	app.Get("/", func(c iris.Context) {
+		c.ContentType("text/html; charset=utf-8")
+		_, _ = c.Write(consolePage)
+	})
+	app.Get("/state", s.consoleState)
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		stopping, cancel := context.WithTimeout(context.Background(), stopWait)
+		defer cancel()
+		_ = app.Shutdown(stopping)
+	}()
+	s.say("http://%v shows the state; Ctrl-C ends it", s.options.listen)
+	err := app.Listen(s.options.listen.String(), iris.WithoutStartupLog, iris.WithoutInterruptHandler)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return s.fail(err)
+	}
+	return exitDone
+}
+
+// consoleState answers the page with what the node knows now.
+func (s *session) consoleState(c iris.Context) {
+	ctx := c.Request().Context()
+	status, err := s.client.Status(ctx, &schema.StatusRequest{})
+	if err != nil {
+		c.StatusCode(http.StatusBadGateway)
+		_, _ = c.WriteString(err.Error())
+		return
+	}
+	events, err := s.client.Timeline(ctx, &schema.TimelineRequest{Everywhere: true, MaxEvents: consoleEvents})
+	if err != nil {
+		c.StatusCode(http.StatusBadGateway)
+		_, _ = c.WriteString(err.Error())
+		return
+	}
+	_ = c.JSON(state(status, events))
+}
+
+// pageState is what the page draws.
+type pageState struct {
+	Node        string
+	Revision    uint64
+	Zones       []pageZone
+	Nodes       []pageNode
+	Events      []pageEvent
+	Unreachable []string
+}
+
+type pageZone struct {
+	Name, Region string
+	OutOfService bool
+}
+
+type pageNode struct {
+	Name, Region, Zone, State, Service, Address string
+	Slots, InUse, Limit, Queued                 uint32
+}
+
+type pageEvent struct {
+	// At is in milliseconds since 1970.
+	At                 float64
+	Node, Name, Detail string
+}
+
+func state(status *schema.StatusResponse, timeline *schema.TimelineResponse) pageState {
+	page := pageState{Node: status.GetNode(), Revision: status.GetRevision(), Unreachable: timeline.GetUnreachable()}
+	for _, z := range status.GetAvailabilityZones() {
+		page.Zones = append(page.Zones, pageZone{Name: z.GetName(), Region: z.GetRegion(), OutOfService: z.GetOutOfService()})
+	}
+	for _, n := range status.GetNodes() {
+		m, b, load := n.GetMember(), n.GetMember().GetBackendServer(), n.GetLoad()
+		page.Nodes = append(page.Nodes, pageNode{
+			Name: m.GetName(), Region: m.GetRegion(), Zone: m.GetAvailabilityZone(), State: nodeState(n),
+			Service: b.GetService(), Address: b.GetAddress(), Slots: b.GetSlots(),
+			InUse: load.GetInUse(), Limit: load.GetLimit(), Queued: load.GetQueued(),
+		})
+	}
+	for _, e := range timeline.GetEvents() {
+		page.Events = append(page.Events, pageEvent{
+			At: float64(e.GetWall()) / 1e6, Node: e.GetNode(), Name: e.GetName(), Detail: e.GetDetail(),
+		})
+	}
+	return page
+}
--- a/constants.go
+++ b/constants.go
@@ -68,7 +68,8 @@
 	MinFailures        = 2
 	FailureShare       = 10
 	MaxQueueShare      = 2
-	MaxQueueWait       = 250 * time.Millisecond
+	MaxQueueWait       = 120 * time.Millisecond
+	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
 	CrashSettleTime    = 2 * time.Second
 	MaxSuspectRequests = 4096
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -30,22 +30,22 @@
 	return &Admitter{limiter: limiter, clock: clock, epoch: clock()}
 }
 
-// Admit returns when the request may run; the caller must call Release once after it ran.
-// The error is an *eelgrasspoint.OutcomeError with outcome NotRun.
-func (a *Admitter) Admit(ctx context.Context, meta *eelgrasspoint.Meta) error {
-	w, err := a.enter(meta)
+// Admit returns when the request may run, and that moment, which goes into the sample of the
+// one Release that must follow. The error is an *eelgrasspoint.OutcomeError with outcome NotRun.
+func (a *Admitter) Admit(ctx context.Context, meta *eelgrasspoint.Meta) (time.Time, error) {
+	w, began, err := a.enter(meta)
 	if w == nil || err != nil {
-		return err
+		return began, err
 	}
 	timer := time.NewTimer(a.waitLimit(meta))
 	defer timer.Stop()
 	select {
 	case reason := <-w.verdict:
-		return refusal(reason)
+		return w.began, refusal(reason)
 	case <-timer.C:
-		return a.abandon(w, eelgrasspoint.Overloaded)
+		return began, a.abandon(w, eelgrasspoint.Overloaded)
 	case <-ctx.Done():
-		return a.abandon(w, abandonReason(ctx))
+		return began, a.abandon(w, abandonReason(ctx))
 	}
 }
 
@@ -55,7 +55,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sample.InUse = a.inUse
-	a.leave(sample.At.Add(-sample.Held))
+	a.leave(sample.Admitted)
 	cold := a.limiter.Observe(sample)
 	if sample.Succeeded {
 		a.service.learn(sample.Duration, sample.At)
@@ -104,29 +104,30 @@
 }
 
 // enter takes a slot, or a place in the queue, or refuses.
-func (a *Admitter) enter(meta *eelgrasspoint.Meta) (*waiter, error) {
+func (a *Admitter) enter(meta *eelgrasspoint.Meta) (*waiter, time.Time, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed != eelgrasspoint.NoReason {
-		return nil, refusal(a.closed)
+		return nil, time.Time{}, refusal(a.closed)
 	}
 	a.watch()
 	if !meta.Insists && a.service.slow(a.age(), a.clock()) {
-		return nil, refusal(eelgrasspoint.SlowServer)
+		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
 	if a.queue.Len() == 0 && a.inUse < a.limiter.Limit() {
-		a.take(a.clock())
-		return nil, nil
+		now := a.clock()
+		a.take(now)
+		return nil, now, nil
 	}
 	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, verdict: make(chan eelgrasspoint.Reason, 1)}
 	if !a.canFinish(w) {
-		return nil, refusal(eelgrasspoint.Overloaded)
+		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
 	if a.queue.Len() >= a.maxQueue() && !a.shedLighter(w) {
-		return nil, refusal(eelgrasspoint.Overloaded)
+		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
 	a.queue.push(w)
-	return w, nil
+	return w, time.Time{}, nil
 }
 
 func (a *Admitter) take(now time.Time) {
@@ -183,7 +184,7 @@
 }
 
 func (a *Admitter) maxQueue() int {
-	return max(1, a.limiter.Limit()*eelgrasspoint.MaxQueueShare)
+	return max(eelgrasspoint.MinQueue, a.limiter.Limit()*eelgrasspoint.MaxQueueShare)
 }
 
 // grant hands free slots to the waiters that go first, refusing those that are too late.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -111,12 +111,13 @@
 	if err := e.check(&attempt.Meta); err != nil {
 		return nil, err
 	}
-	if err := e.options.Admitter.Admit(ctx, &attempt.Meta); err != nil {
+	admitted, err := e.options.Admitter.Admit(ctx, &attempt.Meta)
+	if err != nil {
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
 	}
-	r, err := e.begin(attempt)
+	r, err := e.begin(attempt, admitted)
 	if err != nil {
-		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Ignored: true})
+		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admitted, Ignored: true})
 		return nil, err
 	}
 	response, err := r.roundTrip(ctx)
@@ -155,7 +156,7 @@
 
 // begin registers the run. A zone or backend server may have left while the attempt waited,
 // so what check saw is looked at again.
-func (e *Executor) begin(attempt *eelgrasspoint.Attempt) (*run, error) {
+func (e *Executor) begin(attempt *eelgrasspoint.Attempt, admitted time.Time) (*run, error) {
 	if err := e.check(&attempt.Meta); err != nil {
 		return nil, err
 	}
@@ -170,7 +171,7 @@
 	}
 	r := &run{
 		executor: e, attempt: attempt, backend: *e.backend, transport: e.transport,
-		epoch: e.epoch, suspect: suspect, began: e.options.Clock(),
+		epoch: e.epoch, suspect: suspect, began: admitted,
 	}
 	if suspect {
 		e.suspects++
@@ -191,7 +192,7 @@
 	}
 	e.mu.Unlock()
 	sample.At = e.options.Clock()
-	sample.Held = sample.At.Sub(r.began)
+	sample.Admitted = r.began
 	sample.Duration = r.serviceTime(sample.At)
 	if sample.Succeeded {
 		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -251,7 +251,12 @@
 		Err: last, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
 		Attempts: p.attempts, Deadline: p.meta.Deadline,
 	}
-	if !retrier.Allowed(failure, p.forwarder.Clock()) || !p.forwarder.Retrier.Spend(retrier.PurposeOf(last)) {
+	if !retrier.Allowed(failure, p.forwarder.Clock()) {
+		return false
+	}
+	purpose := retrier.PurposeOf(last)
+	// A redirect that was already answered by "slow" is not given up for the budget's sake.
+	if !p.forwarder.Retrier.Spend(purpose) && purpose != retrier.Redirect {
 		return false
 	}
 	p.record(eelgrasspoint.EventRequestRetried, last.Error())
--- a/limit.go
+++ b/limit.go
@@ -6,8 +6,8 @@
 type Sample struct {
 	At       time.Time
 	Duration time.Duration
-	// Held is how long the slot was held, which may be longer than the run.
-	Held      time.Duration
+	// Admitted is the moment that Admit returned.
+	Admitted  time.Time
 	InUse     int
 	Succeeded bool
 	// Shed is set if the backend server said that it has too much work.
--- a/standin/cmd/measure/path.go
+++ b/standin/cmd/measure/path.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,9 @@
 	twoHops := "http://" + entry.Callers.String() + "/catalogue/1"
 	steady(direct, oneHop, twoHops)
 	saturated(direct, oneHop, twoHops)
+	fmt.Printf("limit after it: %.0f of %d slots\n", values(exit)["eelgrass_backend_limit"], pathSlots)
+	refusals(entry)
+	refusals(exit)
 	fmt.Printf("memory after it: entry %.1f MB, exit %.1f MB\n", megabytes(entry.Process), megabytes(exit.Process))
 	return nil
 }
@@ -135,3 +139,12 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
+
+// refusals prints why an entry node refused.
+func refusals(n *cluster.Node) {
+	for name, value := range values(n) {
+		if strings.HasPrefix(name, reasonPrefix) && value > 0 {
+			fmt.Printf("%s refused %.0f: %s\n", n.Name, value, strings.TrimPrefix(name, reasonPrefix))
+		}
+	}
+}
