--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -21,8 +21,10 @@
 	Cluster    string
 	Controller *controller.Controller
 	Recorder   eelgrasspoint.Recorder
-	Witness    func(time.Time)
-	Now        func() time.Time
+	// Load returns the load of the backend server beside the node.
+	Load    func() eelgrasspoint.Load
+	Witness func(time.Time)
+	Now     func() time.Time
 	// Pull fetches changes from a member that has a higher revision.
 	Pull func(m eelgrasspoint.Member, after uint64)
 	// Events returns recorded events.
@@ -57,6 +59,7 @@
 		Revision: view.Revision,
 		Digest:   view.Digest,
 		News:     translator.MemberMessages(news),
+		Load:     translator.LoadMessage(e.options.Load()),
 		Wall:     uint64(e.options.Now().UnixNano()),
 	}, nil
 }
--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/committer"
@@ -92,44 +91,53 @@
 	}, nil
 }
 
-// Status returns what this node knows of all.
-func (o *Operator) Status(context.Context, *schema.StatusRequest) (*schema.StatusResponse, error) {
+// Status returns what this node knows of all, with the loads that the others answer now.
+func (o *Operator) Status(ctx context.Context, _ *schema.StatusRequest) (*schema.StatusResponse, error) {
 	view := o.options.Controller.View()
 	snapshot := o.options.Holder.Load()
 	response := &schema.StatusResponse{Node: view.Self.Name, Revision: view.Revision}
 	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
 		response.AvailabilityZones = append(response.AvailabilityZones, translator.ZoneMessage(zone))
 	}
+	rows := make(map[string]*schema.NodeStatus, len(view.Members))
 	for _, m := range view.Members {
-		response.Nodes = append(response.Nodes, o.nodeStatus(snapshot, m))
+		rows[m.Name] = o.nodeStatus(snapshot, m)
+		response.Nodes = append(response.Nodes, rows[m.Name])
 	}
+	rows[view.Self.Name].Load = translator.LoadMessage(o.options.Load())
+	o.everyPeer(ctx, view, func(ctx context.Context, m eelgrasspoint.Member, peer schema.Exchange) {
+		// Each call has a row of its own.
+		if answer, err := o.ask(ctx, view, peer); err == nil {
+			rows[m.Name].Load = answer.GetLoad()
+		}
+	})
 	return response, nil
 }
 
+// nodeStatus is what this node itself knows of a member.
 func (o *Operator) nodeStatus(snapshot *eelgrasspoint.Snapshot, m eelgrasspoint.Member) *schema.NodeStatus {
 	status := &schema.NodeStatus{Member: translator.MemberMessage(m)}
-	if m.Name == snapshot.Self.Name {
-		status.Load = translator.LoadMessage(o.options.Load())
-		status.LoadAge = durationpb.New(0)
-	}
 	if m.BackendServer == nil {
 		return status
 	}
 	now := o.options.Clock()
 	for _, c := range snapshot.Candidates[m.BackendServer.Service] {
-		if c.Node != m.Name {
-			continue
-		}
-		status.Suspect = c.Gauge.Suspect(now)
-		status.InFlight = uint32(max(c.Gauge.InFlight(), 0))
-		if load, at := c.Gauge.Load(); !at.IsZero() && status.Load == nil {
-			status.Load = translator.LoadMessage(load)
-			status.LoadAge = durationpb.New(now.Sub(at))
+		if c.Node == m.Name {
+			status.Suspect = c.Gauge.Suspect(now)
+			status.InFlight = uint32(max(c.Gauge.InFlight(), 0))
 		}
 	}
 	return status
 }
 
+// ask exchanges a heartbeat without news.
+func (o *Operator) ask(ctx context.Context, view *eelgrasspoint.View, peer schema.Exchange) (*schema.ConverseResponse, error) {
+	return peer.Converse(ctx, &schema.ConverseRequest{
+		Cluster: o.options.Cluster, From: view.Self.Name, Revision: view.Revision, Digest: view.Digest,
+		Wall: uint64(o.options.Clock().UnixNano()),
+	})
+}
+
 // Rollout asks every known node for its revision.
 func (o *Operator) Rollout(ctx context.Context, _ *schema.RolloutRequest) (*schema.RolloutResponse, error) {
 	view := o.options.Controller.View()
@@ -137,10 +145,7 @@
 	var mu sync.Mutex
 	o.everyPeer(ctx, view, func(ctx context.Context, m eelgrasspoint.Member, peer schema.Exchange) {
 		row := &schema.NodeRevision{Node: m.Name}
-		answer, err := peer.Converse(ctx, &schema.ConverseRequest{
-			Cluster: o.options.Cluster, From: view.Self.Name, Revision: view.Revision, Digest: view.Digest,
-			Wall: uint64(o.options.Clock().UnixNano()),
-		})
+		answer, err := o.ask(ctx, view, peer)
 		if err != nil {
 			row.Error = err.Error()
 		}
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -24,7 +24,6 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -66,7 +65,6 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -155,7 +155,7 @@
 			Measuring: r.measuring, Count: r.meter.Measuring,
 		}),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
-			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Witness: r.recorder.Witness,
+			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.Witness,
 			Now: r.recorder.Now, Pull: r.pull, Events: r.events, Crashed: r.crashed,
 		})),
 		operators: schema.NewOperatorsServer(operator.New(operator.Options{
--- a/state/historian/historian_test.go
+++ b/state/historian/historian_test.go
@@ -140,7 +140,7 @@
 	m.nodes[node] = configuration
 }
 
-func (m *history) compact(t *rapid.T) {
+func (m *history) compact(*rapid.T) {
 	ctx := context.Background()
 	head, err := m.h.Head(ctx)
 	if err != nil {
