--- a/cmd/eelgrassctl/options.go
+++ b/cmd/eelgrassctl/options.go
@@ -49,7 +49,7 @@
 	listen   netip.AddrPort
 }
 
-// verb is one subcommand and what it needs.
+// verb is one subcommand and what it needs. The library itself answers completion.
 type verb struct {
 	name        string
 	description string
