--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -152,31 +152,15 @@
 
 func (r *run) outcome(ctx context.Context, last sending) error {
 	if last.state == eelgrasspoint.AttemptNotSent {
-		return eelgrasspoint.Refuse(notSentReason(ctx), last.err.Error())
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), last.err.Error())
 	}
-	reason := eelgrasspoint.ConnectionLost
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = eelgrasspoint.TimedOut
-	case ctx.Err() != nil:
-		reason = eelgrasspoint.Canceled
-	case fromCaller(last.err):
+	reason := eelgrasspoint.LostReason(ctx)
+	if ctx.Err() == nil && fromCaller(last.err) {
 		reason = eelgrasspoint.BodyCutShort
 	}
 	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: last.err.Error()}
 }
 
-func notSentReason(ctx context.Context) eelgrasspoint.Reason {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return eelgrasspoint.DeadlinePassed
-	case ctx.Err() != nil:
-		return eelgrasspoint.Canceled
-	default:
-		return eelgrasspoint.ServerUnreachable
-	}
-}
-
 // serviceTime ends with the answer's first bytes: what follows may wait for a slow caller.
 func (r *run) serviceTime(now time.Time) time.Duration {
 	if answered := r.answered.Load(); answered != 0 {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -160,11 +159,3 @@
 	}
 	return eelgrasspoint.EventRequestRefused
 }
-
-func asOutcome(err error) *eelgrasspoint.OutcomeError {
-	var outcome *eelgrasspoint.OutcomeError
-	if errors.As(err, &outcome) {
-		return outcome
-	}
-	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.ConnectionLost, Detail: err.Error()}
-}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -184,7 +184,7 @@
 	}
 	if err != nil {
 		gauge.End(began)
-		outcome := asOutcome(err)
+		outcome := eelgrasspoint.AsOutcome(err)
 		if outcome.Outcome != eelgrasspoint.NotRun {
 			p.mayHaveRun.Store(true)
 		}
@@ -234,13 +234,13 @@
 
 // callerFailure turns a failure of the caller's own body into what it is.
 func (p *passage) callerFailure(err error) *eelgrasspoint.OutcomeError {
-	outcome := asOutcome(err)
+	outcome := eelgrasspoint.AsOutcome(err)
 	bodyErr := p.body.Err()
 	if bodyErr == nil {
 		return outcome
 	}
 	reason := eelgrasspoint.BodyCutShort
-	if tooLarge := asOutcome(bodyErr); tooLarge.Reason == eelgrasspoint.BodyTooLarge {
+	if tooLarge := eelgrasspoint.AsOutcome(bodyErr); tooLarge.Reason == eelgrasspoint.BodyTooLarge {
 		reason = eelgrasspoint.BodyTooLarge
 	}
 	return &eelgrasspoint.OutcomeError{Outcome: outcome.Outcome, Reason: reason, Detail: bodyErr.Error()}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package eelgrasspoint
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strings"
@@ -26,6 +27,36 @@
 	return &OutcomeError{Outcome: NotRun, Reason: reason, Detail: detail}
 }
 
+// AsOutcome returns the outcome that an error carries; one without may have run.
+func AsOutcome(err error) *OutcomeError {
+	var outcome *OutcomeError
+	if errors.As(err, &outcome) {
+		return outcome
+	}
+	return &OutcomeError{Outcome: MayHaveRun, Reason: ConnectionLost, Detail: err.Error()}
+}
+
+// NotSentReason says why nothing was sent: the context ended, or nobody was reached.
+func NotSentReason(ctx context.Context) Reason {
+	return endReason(ctx, DeadlinePassed, ServerUnreachable)
+}
+
+// LostReason says why an attempt that was sent has no answer.
+func LostReason(ctx context.Context) Reason {
+	return endReason(ctx, TimedOut, ConnectionLost)
+}
+
+func endReason(ctx context.Context, late, otherwise Reason) Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return late
+	case ctx.Err() != nil:
+		return Canceled
+	default:
+		return otherwise
+	}
+}
+
 // ConflictError is a conditional write that lost to another.
 type ConflictError struct {
 	Key     string
--- a/standin/cmd/demo/demo.go
+++ b/standin/cmd/demo/demo.go
@@ -3,12 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -16,9 +12,6 @@
 	"syscall"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
-	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/standin/cluster"
 )
 
@@ -239,143 +232,3 @@
 	d.check("node stopped under load", stopped && outcomes["Answered"] == 360, "clean exit %v, %v", stopped, outcomes)
 	d.check("bookings ran once", d.mostRuns("stop-") == 1, "most runs of one booking: %d", d.mostRuns("stop-"))
 }
-
-// answer is what a caller sees.
-type answer struct {
-	status  int
-	outcome string
-	reason  string
-	body    string
-}
-
-func (a answer) String() string {
-	if a.reason != "" {
-		return fmt.Sprintf("%d %s %s", a.status, a.outcome, a.reason)
-	}
-	return fmt.Sprintf("%d %s %d bytes", a.status, a.outcome, len(a.body))
-}
-
-func (d *demo) call(node int, method, path string, body []byte, header http.Header) answer {
-	url := "http://" + d.cluster.Nodes[node].Callers.String() + path
-	request, err := http.NewRequest(method, url, bytes.NewReader(body))
-	if err != nil {
-		return answer{reason: err.Error()}
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	response, err := d.client.Do(request)
-	if err != nil {
-		return answer{reason: err.Error()}
-	}
-	return read(response)
-}
-
-func read(response *http.Response) answer {
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	a := answer{status: response.StatusCode, outcome: response.Header.Get("Eelgrass-Outcome"), body: string(body)}
-	if err != nil {
-		a.reason = err.Error()
-	}
-	var refusal struct{ Reason string }
-	if a.outcome != "Answered" && json.Unmarshal(body, &refusal) == nil {
-		a.reason = refusal.Reason
-	}
-	return a
-}
-
-// cutShort promises more of a body than it sends, and closes only its own direction.
-func (d *demo) cutShort(node int) answer {
-	conn, err := net.Dial("tcp", d.cluster.Nodes[node].Callers.String())
-	if err != nil {
-		return answer{reason: err.Error()}
-	}
-	defer conn.Close()
-	fmt.Fprint(conn, "POST /bookings HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
-	_ = conn.(*net.TCPConn).CloseWrite()
-	data, _ := io.ReadAll(conn)
-	head, body, _ := strings.Cut(string(data), "\r\n\r\n")
-	a := answer{body: body}
-	_, _ = fmt.Sscanf(head, "HTTP/1.1 %d", &a.status)
-	var refusal struct{ Outcome, Reason string }
-	_ = json.Unmarshal([]byte(body), &refusal)
-	a.outcome, a.reason = refusal.Outcome, refusal.Reason
-	return a
-}
-
-func (d *demo) ctl(node int, arguments ...string) (string, int) {
-	return d.cluster.Run("eelgrassctl", append([]string{"--node", d.cluster.Nodes[node].Control.String()}, arguments...)...)
-}
-
-func (d *demo) aliveBackends(node int) int {
-	output, status := d.ctl(node, "status", "--output", "json")
-	var response schema.StatusResponse
-	if status != 0 || protojson.Unmarshal([]byte(output), &response) != nil {
-		return 0
-	}
-	count := 0
-	for _, n := range response.GetNodes() {
-		m := n.GetMember()
-		if m.GetBackendServer() != nil && !m.GetFailed() && !m.GetLeft() {
-			count++
-		}
-	}
-	return count
-}
-
-func (d *demo) runs(address netip.AddrPort) map[string]int {
-	response, err := d.client.Get("http://" + address.String() + "/")
-	if err != nil {
-		return nil
-	}
-	defer response.Body.Close()
-	var counted struct{ Runs map[string]int }
-	_ = json.NewDecoder(response.Body).Decode(&counted)
-	return counted.Runs
-}
-
-func (d *demo) runsIn(zone string) int {
-	total := 0
-	for _, n := range d.cluster.Nodes {
-		if n.Zone != zone {
-			continue
-		}
-		for _, runs := range d.runs(n.BackendControl) {
-			total += runs
-		}
-	}
-	return total
-}
-
-// mostRuns returns the most runs of one request over all backend servers.
-func (d *demo) mostRuns(prefix string) int {
-	total := make(map[string]int)
-	for _, n := range d.cluster.Nodes {
-		for id, runs := range d.runs(n.BackendControl) {
-			if strings.HasPrefix(id, prefix) {
-				total[id] += runs
-			}
-		}
-	}
-	most := 0
-	for _, runs := range total {
-		most = max(most, runs)
-	}
-	return most
-}
-
-func (d *demo) eventually(limit time.Duration, condition func() bool) bool {
-	deadline := time.Now().Add(limit)
-	for time.Now().Before(deadline) {
-		if condition() {
-			return true
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return false
-}
-
-func oneLine(text string) string {
-	return strings.Join(strings.Fields(text), " ")
-}
--- a/standin/replay/faults.go
+++ b/standin/replay/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"eelgrasspoint/standin/backend"
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/standin/stage"
 )
@@ -47,65 +48,40 @@
 	return found
 }
 
-// killBackend ends the processes and, after a time, starts new ones in their place.
-func killBackend(_ *Replay, f Fault, targets []*stage.Node) {
+// forAWhile does something to the targets and, after the fault's time, undoes it.
+func forAWhile(f Fault, targets []*stage.Node, do, undo func(*stage.Node)) {
 	for _, n := range targets {
-		n.KillBackend()
+		do(n)
 	}
-	if f.For > 0 {
-		time.Sleep(f.For)
-		for _, n := range targets {
-			n.StartBackend()
-		}
+	if f.For == 0 {
+		return
+	}
+	time.Sleep(f.For)
+	for _, n := range targets {
+		undo(n)
 	}
 }
 
+func killBackend(_ *Replay, f Fault, targets []*stage.Node) {
+	forAWhile(f, targets, (*stage.Node).KillBackend, (*stage.Node).StartBackend)
+}
+
 func stopBackend(_ *Replay, f Fault, targets []*stage.Node) {
-	for _, n := range targets {
-		n.StopBackend()
-	}
-	if f.For > 0 {
-		time.Sleep(f.For)
-		for _, n := range targets {
-			n.StartBackend()
-		}
-	}
+	forAWhile(f, targets, (*stage.Node).StopBackend, (*stage.Node).StartBackend)
 }
 
 func killNode(_ *Replay, f Fault, targets []*stage.Node) {
-	for _, n := range targets {
-		n.KillNode()
-	}
-	if f.For > 0 {
-		time.Sleep(f.For)
-		for _, n := range targets {
-			n.StartNode()
-		}
-	}
+	forAWhile(f, targets, (*stage.Node).KillNode, (*stage.Node).StartNode)
 }
 
 func stopNode(_ *Replay, f Fault, targets []*stage.Node) {
-	for _, n := range targets {
-		n.StopNode()
-	}
-	if f.For > 0 {
-		time.Sleep(f.For)
-		for _, n := range targets {
-			n.StartNode()
-		}
-	}
+	forAWhile(f, targets, (*stage.Node).StopNode, (*stage.Node).StartNode)
 }
 
 func loseHost(r *Replay, f Fault, targets []*stage.Node) {
-	for _, n := range targets {
-		r.stage.Network.Lose(n.Host)
-	}
-	if f.For > 0 {
-		time.Sleep(f.For)
-		for _, n := range targets {
-			r.stage.Network.Restore(n.Host)
-		}
-	}
+	forAWhile(f, targets,
+		func(n *stage.Node) { r.stage.Network.Lose(n.Host) },
+		func(n *stage.Node) { r.stage.Network.Restore(n.Host) })
 }
 
 func silence(r *Replay, _ Fault, targets []*stage.Node) {
@@ -166,38 +142,27 @@
 }
 
 // behave changes the behavior of the targets for a time.
-func behave(f Fault, targets []*stage.Node, change func(*stage.Node, bool)) {
-	for _, n := range targets {
-		change(n, true)
-	}
-	time.Sleep(f.For)
-	for _, n := range targets {
-		change(n, false)
-	}
+func behave(f Fault, targets []*stage.Node, change func(b *backend.Behavior)) {
+	forAWhile(f, targets,
+		func(n *stage.Node) {
+			b := n.Behavior()
+			change(&b)
+			n.Backend.SetBehavior(b)
+		},
+		func(n *stage.Node) { n.Backend.SetBehavior(n.Behavior()) })
 }
 
 func full(_ *Replay, f Fault, targets []*stage.Node) {
-	behave(f, targets, func(n *stage.Node, on bool) {
-		b := n.Behavior()
-		b.Full = on
-		n.Backend.SetBehavior(b)
-	})
+	behave(f, targets, func(b *backend.Behavior) { b.Full = true })
 }
 
 func failFast(_ *Replay, f Fault, targets []*stage.Node) {
-	behave(f, targets, func(n *stage.Node, on bool) {
-		b := n.Behavior()
-		b.FailFast = on
-		n.Backend.SetBehavior(b)
-	})
+	behave(f, targets, func(b *backend.Behavior) { b.FailFast = true })
 }
 
+// truncatedBytes is what a broken answer has of its body.
+const truncatedBytes = 2000
+
 func truncateAnswer(_ *Replay, f Fault, targets []*stage.Node) {
-	behave(f, targets, func(n *stage.Node, on bool) {
-		b := n.Behavior()
-		if on {
-			b.TruncateAfter = 2000
-		}
-		n.Backend.SetBehavior(b)
-	})
+	behave(f, targets, func(b *backend.Behavior) { b.TruncateAfter = truncatedBytes })
 }
--- a/transport/answerer/answerer.go
+++ b/transport/answerer/answerer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 
@@ -54,7 +53,7 @@
 	defer cancel()
 	answer, err := a.Executor.Carry(ctx, nil, a.attempt(r, meta))
 	if err != nil {
-		a.refuse(w, from, meta.RequestID, asOutcome(err))
+		a.refuse(w, from, meta.RequestID, eelgrasspoint.AsOutcome(err))
 		return
 	}
 	header := answer.Response.Header
@@ -129,11 +128,3 @@
 	a.hint(w.Header(), from)
 	refuser.Write(w, requestID, err)
 }
-
-func asOutcome(err error) *eelgrasspoint.OutcomeError {
-	var outcome *eelgrasspoint.OutcomeError
-	if errors.As(err, &outcome) {
-		return outcome
-	}
-	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.ConnectionLost, Detail: err.Error()}
-}
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -104,31 +104,9 @@
 		return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: outcome.Reason}
 	}
 	if !connected {
-		return eelgrasspoint.Refuse(notSentReason(ctx), err.Error())
-	}
-	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: lostReason(ctx), Detail: err.Error()}
-}
-
-func notSentReason(ctx context.Context) eelgrasspoint.Reason {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return eelgrasspoint.DeadlinePassed
-	case ctx.Err() != nil:
-		return eelgrasspoint.Canceled
-	default:
-		return eelgrasspoint.ServerUnreachable
-	}
-}
-
-func lostReason(ctx context.Context) eelgrasspoint.Reason {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return eelgrasspoint.TimedOut
-	case ctx.Err() != nil:
-		return eelgrasspoint.Canceled
-	default:
-		return eelgrasspoint.ConnectionLost
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
 	}
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.LostReason(ctx), Detail: err.Error()}
 }
 
 // verdict tells an answer of the backend server from one of the exit node.
