--- a/runner/servers.go
+++ b/runner/servers.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/transport/answerer"
+	"eelgrasspoint/transport/marker"
 )
 
 // Bounds of the servers.
@@ -112,7 +113,7 @@
 			failed <- err
 		}
 	}
-	go start(s.callers, s.callersOn)
+	go start(s.callers, marker.New(s.callersOn))
 	go start(s.peers, s.peersOn)
 	go start(s.control, s.controlOn)
 	return failed
