--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := ./... ./standin/...
 
 # Targets for daily work; README tells them by task.
-.PHONY: schedules build tools test lint format generate check-generated demo demo-shell measure fuzz clean
+.PHONY: schedules race build tools test lint format generate check-generated demo demo-shell measure fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./standin/cmd/...
@@ -16,6 +16,10 @@
 test:
 	go test -timeout 20m $(PACKAGES)
 
+# The race detector over the tests that run most goroutines beside each other.
+race:
+	go test -race -timeout 20m ./standin/proof -run 'Traces/(service|poison|grace)|TestEnds|TestKeys$$|TestMembershipLeave'
+
 lint: tools
 	@test -z "$$($(BIN)/gofumpt -l . | grep -v '\.pb\.go$$\|\.twirp\.go$$\|_string\.go$$' | tee /dev/stderr)"
 	go vet $(PACKAGES)
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -82,6 +82,7 @@
 		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Key: call.Key},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
 	}
+	p.self = p.snapshot.Self
 	if refusal != nil {
 		return p, refusal
 	}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -19,13 +19,15 @@
 type passage struct {
 	forwarder *Forwarder
 	snapshot  *eelgrasspoint.Snapshot
-	request   *http.Request
-	matched   *eelgrasspoint.Route
-	meta      eelgrasspoint.Meta
-	body      *replayer.Replayer
-	header    http.Header
-	tried     []*eelgrasspoint.Candidate
-	attempts  int
+	// self does not change, unlike the snapshot, which each choice reads anew.
+	self     eelgrasspoint.Member
+	request  *http.Request
+	matched  *eelgrasspoint.Route
+	meta     eelgrasspoint.Meta
+	body     *replayer.Replayer
+	header   http.Header
+	tried    []*eelgrasspoint.Candidate
+	attempts int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun atomic.Bool
 }
@@ -110,9 +112,9 @@
 	f := p.forwarder
 	p.snapshot = f.Holder.Load()
 	need := &eelgrasspoint.Need{
-		Region:           p.snapshot.Self.Region,
-		AvailabilityZone: p.snapshot.Self.AvailabilityZone,
-		Self:             p.snapshot.Self.Name,
+		Region:           p.self.Region,
+		AvailabilityZone: p.self.AvailabilityZone,
+		Self:             p.self.Name,
 		Meta:             &p.meta,
 		Tried:            p.tried,
 		SpillAllowed:     p.mayCrossLink(),
@@ -126,7 +128,7 @@
 // mayCrossLink keeps what could be served here within the budget. A request that is bound to
 // another region has no other way and is only counted.
 func (p *passage) mayCrossLink() bool {
-	if !p.meta.Permits(p.snapshot.Self.Region) {
+	if !p.meta.Permits(p.self.Region) {
 		return true
 	}
 	return p.forwarder.Link.Allows(spillReserve)
@@ -137,7 +139,7 @@
 	if last != nil {
 		return last
 	}
-	if !p.meta.Permits(p.snapshot.Self.Region) {
+	if !p.meta.Permits(p.self.Region) {
 		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 	}
 	return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
@@ -199,7 +201,7 @@
 }
 
 func (p *passage) carrier(candidate *eelgrasspoint.Candidate) eelgrasspoint.Carrier {
-	if candidate.Node == p.snapshot.Self.Name {
+	if candidate.Node == p.self.Name {
 		return p.forwarder.Local
 	}
 	return p.forwarder.Peers
@@ -208,7 +210,7 @@
 // chargeLink counts what crosses the link to another region: the request when it is sent, the
 // answer as it comes.
 func (p *passage) chargeLink(candidate *eelgrasspoint.Candidate, bytes int64) {
-	if candidate.Region == p.snapshot.Self.Region || bytes == 0 {
+	if candidate.Region == p.self.Region || bytes == 0 {
 		return
 	}
 	p.forwarder.Link.Charge(bytes)
@@ -290,12 +292,12 @@
 
 // record writes an event unless this node's region may not store anything of the request.
 func (p *passage) record(number eelgrasspoint.EventNumber, detail string) {
-	if !p.meta.Permits(p.snapshot.Self.Region) {
+	if !p.meta.Permits(p.self.Region) {
 		return
 	}
 	p.forwarder.Recorder.Record(eelgrasspoint.Event{
 		Number: number, Service: p.meta.Service, RequestID: p.meta.RequestID,
-		AvailabilityZone: p.snapshot.Self.AvailabilityZone, Detail: detail, Permitted: p.meta.Permitted,
+		AvailabilityZone: p.self.AvailabilityZone, Detail: detail, Permitted: p.meta.Permitted,
 	})
 }
 
