All news of a mass start goes out

Cause: a message takes news of 32 members, always the first by name; when 150 nodes started at once the others learned the rest by repairs, up to 40 s later, and the repairs filled the exchange: 2.5 KB/s per node at 300.

Ruled out: lost messages (no failure and no silent peer in 150 logs).

The part of the news that goes out moves on with each heartbeat, and nodes with more news than a message takes repair their buckets at once.

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -51,15 +51,11 @@
 	if request.GetRevision() > view.Revision+uint64(len(request.GetChanges())) {
 		e.pullFrom(view, request.GetFrom())
 	}
-	news := view.News
-	if len(news) > eelgrasspoint.MaxNewsPerMessage {
-		news = news[:eelgrasspoint.MaxNewsPerMessage]
-	}
 	return &schema.ConverseResponse{
 		From:     view.Self.Name,
 		Revision: view.Revision,
 		Digest:   view.Digest,
-		News:     translator.MemberMessages(news),
+		News:     translator.MemberMessages(view.NewsAt(e.options.Now())),
 		Load:     translator.LoadMessage(e.options.Load()),
 		Wall:     uint64(e.options.Now().UnixNano()),
 	}, nil
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -52,6 +52,7 @@
 const (
 	mismatchesToSync = 4
 	syncInterval     = 15 * time.Second
+	manySyncInterval = 2 * time.Second
 	flushDelay       = 40 * time.Millisecond
 	witnesses        = 2
 )
@@ -209,16 +210,12 @@
 }
 
 func (o *Observer) message(view *eelgrasspoint.View, to string) *schema.ConverseRequest {
-	news := view.News
-	if len(news) > eelgrasspoint.MaxNewsPerMessage {
-		news = news[:eelgrasspoint.MaxNewsPerMessage]
-	}
 	return &schema.ConverseRequest{
 		Cluster:  o.options.Cluster,
 		From:     view.Self.Name,
 		Revision: view.Revision,
 		Digest:   view.Digest,
-		News:     translator.MemberMessages(news),
+		News:     translator.MemberMessages(view.NewsAt(o.options.Now())),
 		Wall:     uint64(o.options.Now().UnixNano()),
 		Changes:  translator.ChangeMessages(lacking(view.Recent, o.revision(to))),
 	}
@@ -251,14 +248,17 @@
 
 // compareDigest repairs views that stay different after the news is out.
 func (o *Observer) compareDigest(ctx context.Context, view *eelgrasspoint.View, m eelgrasspoint.Member, response *schema.ConverseResponse) {
-	if response.GetDigest() == view.Digest || len(view.News) > 0 || len(response.GetNews()) > 0 {
+	many := max(len(view.News), len(response.GetNews())) >= eelgrasspoint.MaxNewsPerMessage
+	quiet := len(view.News) == 0 && len(response.GetNews()) == 0
+	switch {
+	case response.GetDigest() == view.Digest:
 		o.setMismatches(m.Name, 0)
-		return
-	}
-	if !o.syncDue(m.Name) {
-		return
+	case many && o.syncDue(m.Name, 0, manySyncInterval):
+		// More than heartbeats carry in time, as when all start at once.
+		o.Sync(ctx, m)
+	case quiet && o.syncDue(m.Name, mismatchesToSync, syncInterval):
+		o.Sync(ctx, m)
 	}
-	o.Sync(ctx, m)
 }
 
 // Sync repairs the difference between this node's view of the members and another's.
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -1,5 +1,7 @@
 package observer
 
+import "time"
+
 // The functions here guard what is remembered of each peer.
 
 func (o *Observer) peer(name string) *peer {
@@ -44,13 +46,13 @@
 }
 
 // syncDue counts a mismatch and reports whether it has lasted long enough to be repaired.
-func (o *Observer) syncDue(name string) bool {
+func (o *Observer) syncDue(name string, mismatches int, interval time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.peer(name)
 	p.mismatches++
 	now := o.options.Clock()
-	if p.mismatches < mismatchesToSync || now.Sub(p.syncedAt) < syncInterval {
+	if p.mismatches < mismatches || now.Sub(p.syncedAt) < interval {
 		return false
 	}
 	p.mismatches = 0
--- a/standin/proof/membership_test.go
+++ b/standin/proof/membership_test.go
@@ -313,3 +313,32 @@
 		assert.Equal(t, s.Nodes[3].Runner.View().Revision, last)
 	})
 }
+
+// TestStoreReturns counts the calls of each second after an outage: nodes that all noticed it
+// must not arrive together.
+func TestStoreReturns(t *testing.T) {
+	withCrew(t, 24, platform.Faults{}, func(t *testing.T, s *stage.Stage) {
+		time.Sleep(2 * time.Minute)
+		s.Platform.SetFaults(platform.Faults{Down: true})
+		time.Sleep(5 * time.Minute)
+		down := s.Platform.Calls()
+		time.Sleep(time.Minute)
+		perSecond := float64(s.Platform.Calls()-down) / 60
+		assert.Assert(t, perSecond <= 24.0/10, "%.1f calls/s while it is down", perSecond)
+		s.Platform.SetFaults(platform.Faults{})
+		for range 40 {
+			before := s.Platform.Calls()
+			time.Sleep(time.Second)
+			assert.Assert(t, s.Platform.Calls()-before <= 8, "%d calls in a second, a third of the nodes or more", s.Platform.Calls()-before)
+		}
+	})
+}
+
+// TestMembershipManyAtOnce starts more nodes in one instant than a message takes news of.
+func TestMembershipManyAtOnce(t *testing.T) {
+	const count = 80
+	withCrew(t, count, platform.Faults{}, func(t *testing.T, s *stage.Stage) {
+		took := until(time.Minute, everywhere(s, func(n *stage.Node) bool { return alive(n) == count }))
+		assert.Assert(t, took <= 4*time.Second, "met after 6 s and %v", took)
+	})
+}
