Exchange messages fuzzed; exit status 3 with real processes; counts bounded

Cause: messages of other nodes were tested with a few cases only, and nothing brought about exit status 3. Conclusion: an unknown outcome prints the identifier, and the same command settles it.

--- /dev/null
+++ b/coordination/exchanger/exchanger_test.go
@@ -0,0 +1,63 @@
+package exchanger_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/exchanger"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/state/recorder"
+)
+
+// FuzzConverse hands any bytes that parse to the exchange of a running controller: it never
+// panics, the node never takes itself for gone, and a stranger's cluster changes nothing.
+func FuzzConverse(f *testing.F) {
+	seed, _ := proto.Marshal(&schema.ConverseRequest{
+		Cluster: "c", From: "x", Revision: 7, Wall: 1 << 63, Changes: []*schema.Change{{Revision: 1}},
+		News: []*schema.Member{{Name: "self", Incarnation: 9, Failed: true, PeerAddress: "10.0.0.1:1"}, {PeerAddress: "?"}},
+	})
+	f.Add(seed)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
+	r := recorder.New("self", time.Now, log)
+	c := controller.New(controller.Options{
+		Self:   eelgrasspoint.Member{Name: "self", Region: "r", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1"), Incarnation: 5},
+		Holder: h, Recorder: r, Clock: time.Now, SetBackend: func(*eelgrasspoint.BackendServer) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Cleanup(cancel)
+	go c.Run(ctx)
+	e := exchanger.New(exchanger.Options{
+		Cluster: "c", Controller: c, Recorder: r, Witness: r.Witness, Now: r.Now,
+		Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
+		Pull: func(eelgrasspoint.Member, uint64) {},
+	})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var request schema.ConverseRequest
+		if proto.Unmarshal(data, &request) != nil {
+			return
+		}
+		_, err := e.Converse(ctx, &request)
+		if request.GetCluster() != "c" && err == nil {
+			t.Fatal("a stranger was answered")
+		}
+		_, _ = e.Members(ctx, &schema.MembersRequest{Digests: []uint64{request.GetDigest()}})
+		_, _ = e.Changes(ctx, &schema.ChangesRequest{AfterRevision: request.GetRevision()})
+		if !c.View().Self.Alive() {
+			t.Fatalf("the node took itself for %+v", c.View().Self)
+		}
+		if r.Now().After(time.Now().Add(2 * time.Minute)) {
+			t.Fatal("the clock was moved")
+		}
+	})
+}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -170,11 +170,14 @@
 // MemberMessages returns the messages of members.
 func MemberMessages(list []eelgrasspoint.Member) []*schema.Member { return each(list, MemberMessage) }
 
+// maxCounter bounds incarnations and versions, so that a node can always raise its own.
+const maxCounter = 1 << 62
+
 // Members returns the valid members of messages and the number of the others.
 func Members(list []*schema.Member) (members []eelgrasspoint.Member, invalid int) {
 	for _, m := range list {
 		member, err := Member(m)
-		if err != nil || member.Name == "" {
+		if err != nil || member.Name == "" || member.Incarnation > maxCounter || member.Version > maxCounter {
 			invalid++
 			continue
 		}
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -20,7 +20,9 @@
 	bin      string
 	dir      string
 	Platform *Process
-	Nodes    []*Node
+	// PlatformAddress takes the stand-in's faults at /standin.
+	PlatformAddress netip.AddrPort
+	Nodes           []*Node
 }
 
 // Process is one process of a cluster.
@@ -70,6 +72,7 @@
 	if err != nil {
 		return address, err
 	}
+	c.PlatformAddress = address
 	c.Platform, err = c.start("platform", "platform", "--address", address.String())
 	return address, err
 }
--- a/standin/processes/processes_test.go
+++ b/standin/processes/processes_test.go
@@ -1,6 +1,7 @@
 package processes
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/standin/cluster"
+	"eelgrasspoint/standin/platform"
 )
 
 // patience bounds every wait of these tests; the promises are bounded in virtual time.
@@ -183,6 +185,29 @@
 	return runs(&cluster.Cluster{Nodes: []*cluster.Node{n}})
 }
 
+// TestOutcomeUnknown loses the answer to a change and keeps the store away: the command says
+// that it does not know, and the same command settles it.
+func TestOutcomeUnknown(t *testing.T) {
+	c := start(t)
+	setFaults(t, c, platform.Faults{LoseAnswers: 1, DownAfterLoss: true})
+	text, status := ctl(c, 0, "zone", "out", "almaty-a", "--change-id", "c7")
+	assert.Equal(t, status, 3, text)
+	assert.Assert(t, strings.Contains(text, "--change-id c7"), text)
+	setFaults(t, c, platform.Faults{})
+	text, status = ctl(c, 3, "zone", "out", "almaty-a", "--change-id", "c7")
+	assert.Equal(t, status, 0, text)
+	assert.Assert(t, strings.Contains(text, "revision 2"), text)
+}
+
+func setFaults(t *testing.T, c *cluster.Cluster, faults platform.Faults) {
+	t.Helper()
+	body, err := json.Marshal(faults)
+	assert.NilError(t, err)
+	response, err := http.Post("http://"+c.PlatformAddress.String()+"/standin", "application/json", bytes.NewReader(body))
+	assert.NilError(t, err)
+	response.Body.Close()
+}
+
 // TestStoreDown ends the platform: bookings go on, changes are refused.
 func TestStoreDown(t *testing.T) {
 	c := start(t)
