A node frozen before its first heartbeat acted on what it knew

Ruled out, by the node's log: a configuration that came late (1.7 ms after the wake-up), a round that was under way (the node had had none), an attempt sent again to the same node.

The age counts from the start.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -72,7 +72,9 @@
 
 // eligible reports whether the request may go to the candidate at all.
 func eligible(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need) bool {
-	return need.Meta.Permits(c.Region) && !slices.Contains(need.Tried, c)
+	return need.Meta.Permits(c.Region) && !slices.ContainsFunc(need.Tried, func(tried *eelgrasspoint.Candidate) bool {
+		return tried.Node == c.Node
+	})
 }
 
 // pick returns the best of a few accepted candidates that are drawn at random: with stale
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -11,10 +11,14 @@
 	"eelgrasspoint/coordination/chooser"
 )
 
+// made numbers the candidates, so that each is a node of its own.
+var made int
+
 var now = time.Unix(1_700_000_000, 0)
 
 func candidate(region, zone string) *eelgrasspoint.Candidate {
-	return &eelgrasspoint.Candidate{Node: region + zone, Region: region, AvailabilityZone: zone, Slots: 10, Gauge: &eelgrasspoint.Gauge{}}
+	made++
+	return &eelgrasspoint.Candidate{Node: fmt.Sprint(region, zone, made), Region: region, AvailabilityZone: zone, Slots: 10, Gauge: &eelgrasspoint.Gauge{}}
 }
 
 // share counts how often each candidate is chosen in a thousand choices.
@@ -80,6 +84,15 @@
 	assert.Equal(t, share([]*eelgrasspoint.Candidate{suspect}, need(&eelgrasspoint.Meta{}))[suspect], 1000)
 }
 
+// TestTriedIsKnownByNode gives the tried candidate again as another snapshot has it.
+func TestTriedIsKnownByNode(t *testing.T) {
+	tried := candidate("here", "a")
+	again := *tried
+	n := need(&eelgrasspoint.Meta{})
+	n.Tried = []*eelgrasspoint.Candidate{tried}
+	assert.Equal(t, share([]*eelgrasspoint.Candidate{&again}, n)[nil], 1000)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	var list []*eelgrasspoint.Candidate
 	for i := range 11 {
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -191,6 +191,14 @@
 	return n
 }
 
+// Barrier closes Done once all commands before it are in force.
+type Barrier struct{ Done chan<- struct{} }
+
+func (b Barrier) apply(c *Controller) {
+	c.publish()
+	close(b.Done)
+}
+
 // Drain stops new work for the backend server beside the node.
 type Drain struct{}
 
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// Stopped is closed when no more commands are taken.
+func (c *Controller) Stopped() <-chan struct{} { return c.stopped }
+
 // View returns what the exchange may know.
 func (c *Controller) View() *eelgrasspoint.View { return c.view.Load() }
 
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	lastBeat time.Time
+	// deafRounds belongs to Run alone.
+	deafRounds int
 }
 
 // Options are what an observer depends on.
@@ -110,13 +113,42 @@
 	if ctx.Err() != nil {
 		return
 	}
-	o.options.Refreshed(o.options.Clock())
+	// The process may have stood still during the round as well.
+	paused = o.noticePause() || paused
+	o.refresh(paused, len(answers) == 0 || slices.Contains(answers, true))
 	if paused {
 		return
 	}
 	o.judge(ctx, view, answers)
 }
 
+// refresh notes that the control state is of this moment. After a pause it is so only when a
+// peer was heard and what it said is in force, or when nobody answers for some rounds.
+func (o *Observer) refresh(paused, heard bool) {
+	switch {
+	case paused && !heard:
+		o.deafRounds = deafRoundsAfterPause
+	case heard:
+		o.deafRounds = 0
+	case o.deafRounds > 0:
+		o.deafRounds--
+	}
+	if o.deafRounds > 0 {
+		return
+	}
+	inForce := make(chan struct{})
+	o.options.Controller.Do(controller.Barrier{Done: inForce})
+	select {
+	case <-inForce:
+		o.options.Refreshed(o.options.Clock())
+	case <-o.options.Controller.Stopped():
+	}
+}
+
+// deafRoundsAfterPause is how many rounds without an answer a node waits after a pause before
+// it takes itself for alone.
+const deafRoundsAfterPause = 3
+
 // noticePause reports whether this process stood still: then its peers did not fail.
 func (o *Observer) noticePause() bool {
 	now := o.options.Clock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -172,6 +172,7 @@
 	if err := r.servers.listen(r.options.Listen, r.settings); err != nil {
 		return err
 	}
+	r.holder.Refresh(r.options.Clock())
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.record(eelgrasspoint.EventNodeStarted, r.settings.PeerAddress.String())
