Read again: a leak of the replay bound, work done twice, dead code

Cause, found in reading the change: Replayer.Close gave back its share of the process's 8 MiB before it waited for a read that was under way; what that read kept was reserved afterwards and stayed taken for good, until no body could be kept for another attempt. The share is now given back after the wait.

Ruled out: a second release in the read itself; one place is enough.

Besides, with the same behavior: admission read the clock and computed the age of what runs twice for each request, now once; Executor.InFlight, Runner.ControlBytes and three constants had no users and are gone.

--- a/constants.go
+++ b/constants.go
@@ -34,7 +34,6 @@
 	MaxAttempts          = 4
 	DefaultTimeLimit     = 10 * time.Second
 	MaxTimeLimit         = 10 * time.Minute
-	DefaultWeight        = 1
 	MinAttemptTime       = 2 * time.Millisecond
 	HedgeDelayFloor      = 10 * time.Millisecond
 	RefusalRetryAfter    = time.Second
@@ -90,26 +89,24 @@
 
 // Membership between nodes.
 const (
-	HeartbeatInterval   = time.Second
-	HeartbeatTimeout    = 800 * time.Millisecond
-	HeartbeatFailures   = 2
-	ObservedPerNode     = 1
-	BridgesPerRegion    = 2
-	NewsRounds          = 4
-	MaxNewsPerMessage   = 32
-	ForgetAfter         = 10 * time.Minute
-	AnnouncementTTL     = 3 * time.Second
-	MinFailureWitnesses = 2
-	StoreRowInterval    = 5 * time.Minute
-	ScanInterval        = time.Minute
-	MaxSnapshotAge      = 3 * time.Second
-	StopNoticeTime      = 500 * time.Millisecond
+	HeartbeatInterval = time.Second
+	HeartbeatTimeout  = 800 * time.Millisecond
+	HeartbeatFailures = 2
+	ObservedPerNode   = 1
+	BridgesPerRegion  = 2
+	NewsRounds        = 4
+	MaxNewsPerMessage = 32
+	ForgetAfter       = 10 * time.Minute
+	AnnouncementTTL   = 3 * time.Second
+	StoreRowInterval  = 5 * time.Minute
+	ScanInterval      = time.Minute
+	MaxSnapshotAge    = 3 * time.Second
+	StopNoticeTime    = 500 * time.Millisecond
 )
 
 // Configuration.
 const (
 	PollInterval        = 20 * time.Second
-	CommitTimeout       = 5 * time.Second
 	ReadBackTimeout     = 5 * time.Second
 	StoreTimeout        = 2 * time.Second
 	MaxChangeBytes      = 128 << 10
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -94,12 +94,13 @@
 func (a *Admitter) Load() eelgrasspoint.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock()
 	return eelgrasspoint.Load{
 		InUse:  uint32(max(a.inUse, 0)),
 		Limit:  uint32(a.limiter.Limit()),
 		Queued: uint32(a.queue.Len()),
 
-		Expected: a.service.expected(a.age(), a.clock()),
+		Expected: a.service.expected(a.age(now), now),
 	}
 }
 
@@ -110,12 +111,15 @@
 	if a.closed != eelgrasspoint.NoReason {
 		return nil, time.Time{}, refusal(a.closed)
 	}
-	a.watch()
-	if !meta.Insists && a.service.slow(a.age(), a.clock()) {
+	now := a.clock()
+	age := a.age(now)
+	if age > 0 {
+		a.limiter.Watch(age, now)
+	}
+	if !meta.Insists && a.service.slow(age, now) {
 		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
 	if a.queue.Len() == 0 && a.inUse < a.limiter.Limit() {
-		now := a.clock()
 		a.take(now)
 		return nil, now, nil
 	}
@@ -143,19 +147,12 @@
 	}
 }
 
-// watch tells the limiter how long the requests in use have been so on average.
-func (a *Admitter) watch() {
-	if age := a.age(); age > 0 {
-		a.limiter.Watch(age, a.clock())
-	}
-}
-
 // age is how long the requests in use have been so on average.
-func (a *Admitter) age() time.Duration {
+func (a *Admitter) age(now time.Time) time.Duration {
 	if a.inUse <= 0 {
 		return 0
 	}
-	return a.clock().Sub(a.epoch) - a.begun/time.Duration(a.inUse)
+	return now.Sub(a.epoch) - a.begun/time.Duration(a.inUse)
 }
 
 // shedLighter makes room by refusing the lightest waiter if it is lighter than w.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -95,13 +95,6 @@
 	}
 }
 
-// InFlight returns the number of attempts that run now.
-func (e *Executor) InFlight() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.runs)
-}
-
 // Load returns the present counts of the backend server's work.
 func (e *Executor) Load() eelgrasspoint.Load { return e.options.Admitter.Load() }
 
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -32,6 +32,3 @@
 
 // View returns what the node knows of the others at this moment.
 func (r *Runner) View() *eelgrasspoint.View { return r.controller.View() }
-
-// ControlBytes returns the bytes of the exchange between nodes that this node began.
-func (r *Runner) ControlBytes() (read, written int64) { return r.control.Bytes() }
--- a/transport/replayer/replayer.go
+++ b/transport/replayer/replayer.go
@@ -113,11 +113,12 @@
 // Close gives up what was kept. A read that is under way is interrupted and waited for: the
 // source may not be read after its server's handler has returned.
 func (p *Replayer) Close(interrupt func()) {
-	total.Add(-p.reserved.Swap(0))
 	if !p.turn.try() {
 		interrupt()
 		p.turn.take()
 	}
+	// Only now: the read that was under way may have reserved more.
+	total.Add(-p.reserved.Swap(0))
 	p.current = nil
 	if p.ended == nil {
 		p.ended = errDetached
