--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"eelgrasspoint"
+	"eelgrasspoint/platform"
 	"eelgrasspoint/runner"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/memorizer"
@@ -41,20 +42,44 @@
 func run(settings *loader.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node := runner.New(runner.Options{
+	options := runner.Options{
 		Settings: settings,
-		Table:    platform(settings),
-		Dial:     (&net.Dialer{}).DialContext,
+		Table:    ownPlatform(settings),
+		Dial:     (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
 		Listen:   net.Listen,
 		Log:      newLog(settings),
 		Clock:    time.Now,
 		Seed:     uint64(time.Now().UnixNano()),
-	})
-	return node.Run(ctx)
+	}
+	if settings.Contract == loader.ContractPlatform {
+		adapt(&options)
+	}
+	return runner.New(options).Run(ctx)
+}
+
+// keepAlive finds connections that have gone silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// adapt makes the node speak as the platform does.
+func adapt(options *runner.Options) {
+	settings := options.Settings
+	client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, MaxConnsPerHost: storeConnections}}
+	calls := platform.NewTable(settings.Platform, client, func(string, string) {})
+	options.Table = func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
+		return calls, nil
+	}
+	options.Source = platform.NewSource(calls, settings.AvailabilityZones)
+	options.Contract = platform.Contract{}
+	options.Announcements = platform.Announcements
+	options.Readiness = platform.Readiness
 }
 
-// platform returns the adapter of the platform, or one in memory if the settings name none.
-func platform(settings *loader.Settings) func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
+// storeConnections bounds the connections to the platform's store.
+const storeConnections = 4
+
+// ownPlatform returns the adapter of the project's own platform, or one in memory if the
+// settings name none.
+func ownPlatform(settings *loader.Settings) func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
 	return func(count func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
 		if !settings.Platform.IsValid() {
 			memory := memorizer.New()
--- a/configuration.go
+++ b/configuration.go
@@ -1,6 +1,9 @@
 package eelgrasspoint
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Region is a group of availability zones behind one paid link.
 type Region struct{ Name string }
@@ -12,8 +15,24 @@
 	OutOfService bool
 }
 
-// Service is what a group of backend servers offers.
-type Service struct{ Name string }
+// Service is what a group of backend servers offers. Fields other than the name are optional.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// Connections is how many a backend server accepts from all callers together.
+	Connections uint32
+	// ColdStart is how long a backend server that has just started is cold.
+	ColdStart time.Duration
+	// ColdRate is how many requests per second a cold backend server bears.
+	ColdRate float64
+}
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service string
+	Weight  uint32
+}
 
 // Route sends the requests that match it to a service.
 type Route struct {
@@ -28,6 +47,39 @@
 	Hedge       bool
 	TimeLimit   time.Duration
 	HomeRegions []string
+	// TargetLatency is the time within which an answer has its full worth, or zero.
+	TargetLatency time.Duration
+	// MaxAttempts bounds the backend servers that one request is sent to, or is zero.
+	MaxAttempts uint32
+	// Split distributes the requests among services in place of Service.
+	Split []Share
+}
+
+// Allows reports whether the route's requests may go to the service.
+func (r *Route) Allows(service string) bool {
+	if len(r.Split) == 0 {
+		return r.Service == service
+	}
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Pick returns the service of one request; the draw is evenly distributed from 0 to below 1.
+func (r *Route) Pick(draw float64) string {
+	var total uint64
+	for _, share := range r.Split {
+		total += uint64(share.Weight)
+	}
+	if total == 0 {
+		return r.Service
+	}
+	left := draw * float64(total)
+	for _, share := range r.Split {
+		left -= float64(share.Weight)
+		if left < 0 {
+			return share.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
 }
 
 // Client is a customer whose requests may be bound to home regions.
--- a/constants.go
+++ b/constants.go
@@ -22,6 +22,10 @@
 	HeaderFrom        = "Eelgrass-From"
 	HeaderInsists     = "Eelgrass-Insists"
 	HeaderServedBy    = "Eelgrass-Served-By"
+	HeaderCaller      = "Eelgrass-Caller"
+	HeaderRevision    = "Eelgrass-Revision"
+	HeaderService     = "Eelgrass-Service"
+	HeaderWeight      = "Eelgrass-Weight"
 )
 
 // Limits of one request.
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -9,10 +9,25 @@
 	"eelgrasspoint/state/merger"
 )
 
-// Announce is what the backend server beside the node said of itself, or nil if it left.
-type Announce struct{ Backend *eelgrasspoint.BackendServer }
+// Announce is what the backend server beside the node said of itself.
+type Announce struct{ eelgrasspoint.Announcement }
 
 func (a Announce) apply(c *Controller) {
+	if !c.lifetime.accepts(&a.Announcement) {
+		c.record(eelgrasspoint.EventAnnouncementStale, "", c.self.AvailabilityZone, a.ID)
+		return
+	}
+	if a.Backend != nil {
+		backend := *a.Backend
+		if a.ID != "" {
+			backend.Incarnation = c.lifetime.incarnation
+		}
+		backend.Draining = backend.Draining || c.lifetime.leaving
+		a.Backend = &backend
+	}
+	if a.Cold > 0 && c.options.SetCold != nil {
+		c.options.SetCold(a.Cold)
+	}
 	old := c.self.BackendServer
 	c.announcedAt = c.options.Clock()
 	if c.draining && a.Backend != nil {
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -39,6 +39,7 @@
 	announcedAt   time.Time
 	draining      bool
 	bridgeOffset  int
+	lifetime      lifetime
 }
 
 // Options are what a controller depends on.
@@ -49,6 +50,10 @@
 	Clock    eelgrasspoint.Clock
 	// SetBackend passes on what the backend server announced.
 	SetBackend func(*eelgrasspoint.BackendServer)
+	// SetCold passes on how long the backend server said it will be cold; it is optional.
+	SetCold func(time.Duration)
+	// AnnouncementTTL is how long an announcement holds.
+	AnnouncementTTL time.Duration
 	// SetBudgets passes on the budgets of a new revision and the nodes of the region.
 	SetBudgets func(document *eelgrasspoint.Document, nodesInRegion int)
 }
@@ -160,7 +165,7 @@
 
 func (c *Controller) expireBackend(now time.Time) bool {
 	backend := c.self.BackendServer
-	if backend == nil || now.Sub(c.announcedAt) <= eelgrasspoint.AnnouncementTTL {
+	if backend == nil || now.Sub(c.announcedAt) <= c.options.AnnouncementTTL {
 		return false
 	}
 	c.record(eelgrasspoint.EventBackendLapsed, backend.Service, c.self.AvailabilityZone, backend.Address.String())
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -26,6 +26,7 @@
 	runs     map[*run]struct{}
 	suspects int
 	crash    *pendingCrash
+	load     timedLoad
 }
 
 // Options are what an executor depends on.
@@ -36,6 +37,7 @@
 	Recorder    eelgrasspoint.Recorder
 	Clock       eelgrasspoint.Clock
 	Dial        dialer.Func
+	Contract    eelgrasspoint.Contract
 	// Report tells the other exit nodes of the service about a crash.
 	Report func(Crash)
 }
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -41,7 +41,7 @@
 	for range maxConnects {
 		last = r.send(ctx)
 		if last.err == nil {
-			return r.wrap(ctx, last.response), nil
+			return r.judge(ctx, last.response)
 		}
 		if last.state != eelgrasspoint.AttemptNotSent || !last.stale || r.bodyRead.Load() {
 			break
@@ -50,6 +50,22 @@
 	return nil, r.fail(ctx, last)
 }
 
+// judge tells an answer from a refusal of the backend server and from what can't be one.
+func (r *run) judge(ctx context.Context, response *http.Response) (*http.Response, error) {
+	remark, err := r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+	r.executor.learnLoad(remark)
+	if err == nil && !remark.NotRun {
+		return r.wrap(ctx, response), nil
+	}
+	// Closed unread, its connection is not used again.
+	response.Body.Close()
+	r.executor.end(r, eelgrasspoint.Sample{Shed: remark.Reason == eelgrasspoint.Overloaded, Ignored: err != nil})
+	if err != nil {
+		return nil, err
+	}
+	return nil, eelgrasspoint.Refuse(remark.Reason, "")
+}
+
 // sending is what is known after one try.
 type sending struct {
 	response *http.Response
@@ -88,13 +104,12 @@
 	labeler.Strip(header)
 	relayer.StripHop(header)
 	hideKeys(header)
-	labeler.WriteCall(header, &r.attempt.Meta, r.executor.options.Clock())
-	target, err := url.ParseRequestURI(r.attempt.Target)
-	if err != nil {
-		target = &url.URL{Path: "/"}
+	r.executor.options.Contract.WriteCall(header, &r.attempt.Meta, &r.backend, r.executor.options.Clock())
+	// net/http names itself where no user agent is given.
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = nil
 	}
-	target.Scheme = "http"
-	target.Host = r.backend.Address.String()
+	target := &url.URL{Scheme: "http", Host: r.backend.Address.String(), Opaque: r.attempt.Target}
 	request := &http.Request{
 		Method: r.attempt.Method, URL: target, Host: r.attempt.Host, Header: header,
 		Body: r.body(), ContentLength: r.attempt.Length,
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -14,7 +14,6 @@
 	"eelgrasspoint/coordination/claimer"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/labeler"
-	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/refuser"
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
@@ -43,6 +42,9 @@
 	Clock        eelgrasspoint.Clock
 	Random       *rand.Rand
 	MaxBodyBytes int64
+	Contract     eelgrasspoint.Contract
+	// Service is that of the backend server beside the node.
+	Service string
 }
 
 // New returns a forwarder.
@@ -74,12 +76,12 @@
 
 // prepare reads everything that is known before the first attempt.
 func (f *Forwarder) prepare(r *http.Request, now time.Time) (*passage, *eelgrasspoint.OutcomeError) {
-	call, refusal := parser.Parse(r)
+	call, refusal := f.Contract.ReadCall(r)
 	p := &passage{
 		forwarder: f,
 		snapshot:  f.Holder.Load(),
 		request:   r,
-		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Key: call.Key},
+		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Key: call.Key, Caller: f.Service},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
 	}
 	p.self = p.snapshot.Self
@@ -115,7 +117,7 @@
 func fingerprint(p *passage) uint64 {
 	d := xxhash.New()
 	r := p.request
-	for _, part := range []string{r.Method, r.Host, r.URL.RequestURI(), p.meta.Client, p.meta.Key} {
+	for _, part := range []string{r.Method, r.Host, r.RequestURI, p.meta.Client, p.meta.Key} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
@@ -127,8 +129,7 @@
 func (f *Forwarder) answer(w http.ResponseWriter, p *passage, began time.Time, answer *eelgrasspoint.Answer) {
 	header := answer.Response.Header
 	labeler.Strip(header)
-	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
-	header[eelgrasspoint.HeaderRequestID] = []string{p.meta.RequestID}
+	f.Contract.WriteAnswer(header, &p.meta)
 	p.closeUnlessRead(header)
 	defer func() { f.Meter.Request(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(began)) }()
 	f.relayer.Relay(w, answer.Response)
@@ -139,8 +140,8 @@
 	f.Meter.Refusal(p.meta.Service, err.Reason)
 	p.record(refusalEvent(err), err.Error())
 	p.closeUnlessRead(w.Header())
-	refuser.Write(w, p.meta.RequestID, &eelgrasspoint.OutcomeError{
-		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err),
+	refuser.Write(w, f.Contract, p.meta.RequestID, &eelgrasspoint.OutcomeError{
+		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err), RetryAfter: err.RetryAfter,
 	})
 }
 
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -43,6 +43,10 @@
 		return eelgrasspoint.Refuse(eelgrasspoint.NoRoute, "")
 	}
 	p.meta.SetRoute(p.matched)
+	p.meta.Revision = p.snapshot.Configuration.Revision
+	if len(p.matched.Split) > 0 {
+		p.meta.Service = p.matched.Pick(p.forwarder.Random.Float64())
+	}
 	permitted, lawful := p.snapshot.Router.Permitted(p.matched, p.meta.Client)
 	p.meta.Permitted = permitted
 	if !lawful {
@@ -110,19 +114,10 @@
 	labeler.Strip(header)
 	relayer.StripHop(header)
 	header.Del("Expect")
-	addForwardedFor(header, p.request.RemoteAddr)
+	p.forwarder.Contract.Forward(header, p.request.RemoteAddr)
 	return header
 }
 
-// addForwardedFor tells the backend server the address of its caller.
-func addForwardedFor(header http.Header, remote string) {
-	host := hostName(remote)
-	if earlier := header.Get("X-Forwarded-For"); earlier != "" {
-		host = earlier + ", " + host
-	}
-	header["X-Forwarded-For"] = []string{host}
-}
-
 // choose asks for a candidate as the snapshot of this moment has them: a zone may have left
 // since the request came.
 func (p *passage) choose() *eelgrasspoint.Candidate {
@@ -194,7 +189,7 @@
 	gauge.Begin(began)
 	p.chargeLink(candidate, max(p.request.ContentLength, 0)+headerAllowance)
 	answer, err := p.carrier(candidate).Carry(ctx, candidate, &eelgrasspoint.Attempt{
-		Meta: meta, Method: p.request.Method, Target: p.request.URL.RequestURI(), Host: p.request.Host,
+		Meta: meta, Method: p.request.Method, Target: p.request.RequestURI, Host: p.request.Host,
 		Header: p.header, Body: body, Length: p.request.ContentLength,
 	})
 	now := f.Clock()
--- a/errors.go
+++ b/errors.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // OutcomeError ends an attempt or a request without an answer of a backend server.
@@ -12,6 +13,8 @@
 	Outcome Outcome
 	Reason  Reason
 	Detail  string
+	// RetryAfter is when the caller may come back after a refusal, or zero.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
--- a/event.go
+++ b/event.go
@@ -39,6 +39,10 @@
 	EventBadInput
 	EventDrainRequested
 	EventIsolationSuspected
+	EventAnnouncementStale
+	EventRequestAnswered
+	EventSettingsReloaded
+	EventReadinessChanged
 )
 
 // Event is one thing that happened on a node. The pair (Wall, Logical) is a hybrid logical clock.
--- a/member.go
+++ b/member.go
@@ -15,6 +15,22 @@
 	Slots       uint32
 	Connections uint32
 	Draining    bool
+	// ID is the name by which the backend server knows itself. It is not told to other nodes.
+	ID string
+}
+
+// Announcement is what a backend server said of itself to the node beside it.
+type Announcement struct {
+	// ID is the name of the backend server's lifetime, or empty.
+	ID string
+	// Incarnation rises with each lifetime; zero if it was not said.
+	Incarnation uint64
+	// Sequence rises with each announcement of one lifetime; zero if it was not said.
+	Sequence uint64
+	// Cold is how long the backend server will go on being cold.
+	Cold time.Duration
+	// Backend is nil if the backend server leaves.
+	Backend *BackendServer
 }
 
 // Member is a node as the others know it.
@@ -52,6 +68,8 @@
 	Queued uint32
 	// Expected is how long a run takes at present.
 	Expected time.Duration
+	// Slowness is how many times as long as usual work takes at present, or zero if unknown.
+	Slowness float64
 }
 
 // Gauge is what one node knows of a backend server's load. It is safe for concurrent use.
--- a/outcome.go
+++ b/outcome.go
@@ -46,6 +46,10 @@
 	StaleRoute
 	StaleNode
 	SlowServer
+	OtherServer
+	BadAnswer
+	ColdServer
+	NotReady
 )
 
 // AttemptState is how far one attempt has come.
@@ -97,7 +101,7 @@
 
 // ParseReason returns the reason with the name, or NoReason.
 func ParseReason(name string) Reason {
-	for r := NoReason; r <= SlowServer; r++ {
+	for r := NoReason; r <= NotReady; r++ {
 		if r.String() == name {
 			return r
 		}
--- a/protocol/labeler/labeler.go
+++ b/protocol/labeler/labeler.go
@@ -22,6 +22,10 @@
 	Remaining   time.Duration
 	Attempt     int
 	Insists     bool
+	Caller      string
+	Revision    uint64
+	Service     string
+	Weight      uint32
 }
 
 // nodeHeaders are spoken between nodes and taken off everything else.
@@ -29,6 +33,7 @@
 	eelgrasspoint.HeaderReason, eelgrasspoint.HeaderLoad, eelgrasspoint.HeaderRoute,
 	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
 	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderFrom, eelgrasspoint.HeaderInsists,
+	eelgrasspoint.HeaderCaller, eelgrasspoint.HeaderRevision, eelgrasspoint.HeaderService, eelgrasspoint.HeaderWeight,
 }
 
 // Strip removes the headers that only nodes may set.
@@ -44,6 +49,14 @@
 	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
 	header[eelgrasspoint.HeaderFingerprint] = []string{strconv.FormatUint(meta.Fingerprint, 16)}
 	header[eelgrasspoint.HeaderAttempt] = []string{strconv.Itoa(meta.Attempt)}
+	if meta.Caller != "" {
+		header[eelgrasspoint.HeaderCaller] = []string{meta.Caller}
+	}
+	if meta.Revision != 0 {
+		header[eelgrasspoint.HeaderRevision] = []string{strconv.FormatUint(meta.Revision, 10)}
+	}
+	header[eelgrasspoint.HeaderService] = []string{meta.Service}
+	header[eelgrasspoint.HeaderWeight] = []string{strconv.FormatUint(uint64(meta.Weight), 10)}
 	if meta.Insists {
 		header[eelgrasspoint.HeaderInsists] = []string{"1"}
 	}
@@ -71,7 +84,18 @@
 		Route:     header.Get(eelgrasspoint.HeaderRoute),
 	}
 	label.Insists = header.Get(eelgrasspoint.HeaderInsists) != ""
-	var err error
+	label.Caller = header.Get(eelgrasspoint.HeaderCaller)
+	label.Service = header.Get(eelgrasspoint.HeaderService)
+	weight, err := strconv.ParseUint(header.Get(eelgrasspoint.HeaderWeight), 10, 32)
+	if err != nil {
+		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderWeight, err)
+	}
+	label.Weight = uint32(weight)
+	if text := header.Get(eelgrasspoint.HeaderRevision); text != "" {
+		if label.Revision, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderRevision, err)
+		}
+	}
 	if label.Depth, err = strconv.Atoi(header.Get(eelgrasspoint.HeaderDepth)); err != nil {
 		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderDepth, err)
 	}
@@ -90,6 +114,9 @@
 	return label, nil
 }
 
+// slownessUnit is how the slowness of a backend server is written, in parts of the usual.
+const slownessUnit = 100
+
 // WriteLoad puts a load hint on an answer and returns its bytes.
 func WriteLoad(header http.Header, load eelgrasspoint.Load) int {
 	b := make([]byte, 0, 16)
@@ -100,6 +127,10 @@
 	b = strconv.AppendUint(b, uint64(load.Queued), 10)
 	b = append(b, '/')
 	b = strconv.AppendInt(b, load.Expected.Milliseconds(), 10)
+	if load.Slowness > 0 {
+		b = append(b, '/')
+		b = strconv.AppendInt(b, int64(load.Slowness*slownessUnit), 10)
+	}
 	header[eelgrasspoint.HeaderLoad] = []string{string(b)}
 	return len(eelgrasspoint.HeaderLoad) + len(b)
 }
@@ -107,10 +138,10 @@
 // ReadLoad returns the load hint of an answer and whether there was one.
 func ReadLoad(header http.Header) (eelgrasspoint.Load, bool) {
 	parts := strings.Split(header.Get(eelgrasspoint.HeaderLoad), "/")
-	if len(parts) != 4 {
+	if len(parts) != 4 && len(parts) != 5 {
 		return eelgrasspoint.Load{}, false
 	}
-	var numbers [4]uint32
+	var numbers [5]uint32
 	for i, part := range parts {
 		n, err := strconv.ParseUint(part, 10, 32)
 		if err != nil {
@@ -121,5 +152,6 @@
 	return eelgrasspoint.Load{
 		InUse: numbers[0], Limit: numbers[1], Queued: numbers[2],
 		Expected: time.Duration(numbers[3]) * time.Millisecond,
+		Slowness: float64(numbers[4]) / slownessUnit,
 	}, true
 }
--- /dev/null
+++ b/protocol/parser/contract.go
@@ -0,0 +1,63 @@
+package parser
+
+import (
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/labeler"
+)
+
+// Parser is the project's own contract with callers and backend servers.
+type Parser struct{}
+
+var _ eelgrasspoint.Contract = Parser{}
+
+// New returns the project's own contract.
+func New() Parser { return Parser{} }
+
+// ReadCall implements eelgrasspoint.Contract.
+func (Parser) ReadCall(r *http.Request) (eelgrasspoint.Call, *eelgrasspoint.OutcomeError) {
+	return Parse(r)
+}
+
+// Forward implements eelgrasspoint.Contract: it tells the backend server the address of its caller.
+func (Parser) Forward(header http.Header, remote string) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		host = remote
+	}
+	if earlier := header.Get("X-Forwarded-For"); earlier != "" {
+		host = earlier + ", " + host
+	}
+	header["X-Forwarded-For"] = []string{host}
+}
+
+// WriteCall implements eelgrasspoint.Contract.
+func (Parser) WriteCall(header http.Header, meta *eelgrasspoint.Meta, _ *eelgrasspoint.BackendServer, now time.Time) {
+	labeler.WriteCall(header, meta, now)
+}
+
+// ReadAnswer implements eelgrasspoint.Contract. Backend servers give no proofs here.
+func (Parser) ReadAnswer(*http.Response, *eelgrasspoint.Meta) (eelgrasspoint.Remark, error) {
+	return eelgrasspoint.Remark{}, nil
+}
+
+// WriteAnswer implements eelgrasspoint.Contract.
+func (Parser) WriteAnswer(header http.Header, meta *eelgrasspoint.Meta) {
+	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
+	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
+}
+
+// RetryAfter implements eelgrasspoint.Contract: whole seconds (RFC 9110, section 10.2.3).
+func (Parser) RetryAfter(pause time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(pause.Seconds())))
+}
+
+// ReadHealth implements eelgrasspoint.Contract.
+func (Parser) ReadHealth(response *http.Response) eelgrasspoint.Health {
+	return eelgrasspoint.Health{Healthy: response.StatusCode == http.StatusOK}
+}
--- a/protocol/parser/parser.go
+++ b/protocol/parser/parser.go
@@ -12,18 +12,9 @@
 	"eelgrasspoint"
 )
 
-// Call is what a caller said about its request.
-type Call struct {
-	RequestID string
-	Client    string
-	Timeout   time.Duration
-	Depth     int
-	Key       string
-}
-
 // Parse reads the headers of a request. The call always has a request identifier.
-func Parse(r *http.Request) (Call, *eelgrasspoint.OutcomeError) {
-	call := Call{Client: r.Header.Get(eelgrasspoint.HeaderClient), Key: idempotencyKey(r.Header)}
+func Parse(r *http.Request) (eelgrasspoint.Call, *eelgrasspoint.OutcomeError) {
+	call := eelgrasspoint.Call{Client: r.Header.Get(eelgrasspoint.HeaderClient), Key: idempotencyKey(r.Header)}
 	var err *eelgrasspoint.OutcomeError
 	if call.RequestID, err = requestID(r.Header); err != nil {
 		return call, err
--- a/protocol/refuser/refuser.go
+++ b/protocol/refuser/refuser.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 
@@ -19,7 +18,7 @@
 }
 
 // Write answers with the outcome and the reason of the error.
-func Write(w http.ResponseWriter, requestID string, err *eelgrasspoint.OutcomeError) {
+func Write(w http.ResponseWriter, contract eelgrasspoint.Contract, requestID string, err *eelgrasspoint.OutcomeError) {
 	body, _ := json.Marshal(Refusal{
 		Outcome:   err.Outcome.String(),
 		Reason:    err.Reason.String(),
@@ -33,7 +32,11 @@
 	header.Set(eelgrasspoint.HeaderRequestID, requestID)
 	status := eelgrasspoint.Status(err.Outcome, err.Reason)
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(eelgrasspoint.RefusalRetryAfter.Seconds()))))
+		pause := err.RetryAfter
+		if pause == 0 {
+			pause = eelgrasspoint.RefusalRetryAfter
+		}
+		header.Set("Retry-After", contract.RetryAfter(pause))
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -34,7 +34,10 @@
 			return eelgrasspoint.AvailabilityZone{Name: z.GetName(), Region: z.GetRegion(), OutOfService: z.GetOutOfService()}
 		}),
 		Services: each(m.GetServices(), func(s *schema.Service) eelgrasspoint.Service {
-			return eelgrasspoint.Service{Name: s.GetName()}
+			return eelgrasspoint.Service{
+				Name: s.GetName(), HealthPath: s.GetHealthPath(), Connections: s.GetConnections(),
+				ColdStart: s.GetColdStart().AsDuration(), ColdRate: s.GetColdRate(),
+			}
 		}),
 		Routes: each(m.GetRoutes(), route),
 		Clients: each(m.GetClients(), func(c *schema.Client) eelgrasspoint.Client {
@@ -54,7 +57,10 @@
 		}),
 		AvailabilityZones: each(d.AvailabilityZones, ZoneMessage),
 		Services: each(d.Services, func(s eelgrasspoint.Service) *schema.Service {
-			return &schema.Service{Name: s.Name}
+			return &schema.Service{
+				Name: s.Name, HealthPath: s.HealthPath, Connections: s.Connections,
+				ColdStart: duration(s.ColdStart), ColdRate: s.ColdRate,
+			}
 		}),
 		Routes: each(d.Routes, routeMessage),
 		Clients: each(d.Clients, func(c eelgrasspoint.Client) *schema.Client {
@@ -76,6 +82,10 @@
 		Name: r.GetName(), Host: r.GetHost(), PathPrefix: r.GetPathPrefix(), Methods: r.GetMethods(),
 		Service: r.GetService(), Kind: r.GetKind(), Weight: r.GetWeight(), Idempotent: r.GetIdempotent(),
 		Hedge: r.GetHedge(), TimeLimit: r.GetTimeLimit().AsDuration(), HomeRegions: r.GetHomeRegions(),
+		TargetLatency: r.GetTargetLatency().AsDuration(), MaxAttempts: r.GetMaxAttempts(),
+		Split: each(r.GetSplit(), func(s *schema.Share) eelgrasspoint.Share {
+			return eelgrasspoint.Share{Service: s.GetService(), Weight: s.GetWeight()}
+		}),
 	}
 }
 
@@ -84,7 +94,19 @@
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods,
 		Service: r.Service, Kind: r.Kind, Weight: r.Weight, Idempotent: r.Idempotent,
 		Hedge: r.Hedge, TimeLimit: durationpb.New(r.TimeLimit), HomeRegions: r.HomeRegions,
+		TargetLatency: duration(r.TargetLatency), MaxAttempts: r.MaxAttempts,
+		Split: each(r.Split, func(s eelgrasspoint.Share) *schema.Share {
+			return &schema.Share{Service: s.Service, Weight: s.Weight}
+		}),
+	}
+}
+
+// duration leaves zero out of a message.
+func duration(d time.Duration) *durationpb.Duration {
+	if d == 0 {
+		return nil
 	}
+	return durationpb.New(d)
 }
 
 // Removal returns the removal of a message.
--- a/request.go
+++ b/request.go
@@ -26,6 +26,12 @@
 	Attempt     int
 	// Insists tells an exit node not to refuse only because its backend server is slow.
 	Insists bool
+	// Caller is the service beside the entry node.
+	Caller string
+	// Revision is that of the configuration by which the entry node chose.
+	Revision uint64
+	// TargetLatency is the time within which an answer has its full worth, or zero.
+	TargetLatency time.Duration
 }
 
 // Bound reports whether the request is bound to home regions.
@@ -52,6 +58,7 @@
 	m.Weight = route.Weight
 	m.Idempotent = route.Idempotent
 	m.Hedge = route.Hedge
+	m.TargetLatency = route.TargetLatency
 }
 
 // Attempt is one sending of a request to one backend server.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -29,6 +29,7 @@
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/announcer"
+	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/historian"
@@ -66,6 +67,7 @@
 	storeIsDown atomic.Bool
 	abortOnce   sync.Once
 	aborted     chan struct{}
+	stopping    atomic.Bool
 }
 
 // Options are what a node is given from outside, so that a test can give something else.
@@ -79,6 +81,13 @@
 	Seed     uint64
 	Chooser  eelgrasspoint.Chooser
 	Limiter  eelgrasspoint.Limiter
+	// Source publishes the configuration; without it, operators change it by calls.
+	Source eelgrasspoint.Source
+	// Contract is the one with callers and backend servers; the default is the project's own.
+	Contract eelgrasspoint.Contract
+	// Announcements and Readiness serve the addresses of the settings with the same names.
+	Announcements func(announce func(eelgrasspoint.Announcement), recorder eelgrasspoint.Recorder) http.Handler
+	Readiness     func(ready func() bool) http.Handler
 }
 
 // New wires a node:
@@ -92,6 +101,9 @@
 //	operators      -> operator -> committer -> historian -> platform
 //	                  controller -> holder -> forwarder, executor, answerer
 func New(options Options) *Runner {
+	if options.Contract == nil {
+		options.Contract = parser.New()
+	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
@@ -116,7 +128,7 @@
 	r.client = &http.Client{Transport: caller.NewTransport(r.control.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantine, Recorder: r.recorder,
-		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash,
+		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
 	})
 	r.peers = caller.New(r.options.Dial, r.settings.Region, clock)
 }
@@ -130,6 +142,7 @@
 		},
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
+		AnnouncementTTL: r.settings.AnnouncementTTL,
 	})
 	r.observer = observer.New(observer.Options{
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
@@ -149,9 +162,11 @@
 			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(), Link: r.link, Claimer: r.claimer, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
+			Contract: r.options.Contract, Service: r.settings.Service,
 		}),
 		attempts: answerer.New(answerer.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
+			Contract: r.options.Contract,
 			Measuring: r.measuring, Count: r.meter.Measuring,
 		}),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
@@ -163,6 +178,8 @@
 			Client: r.client, Load: r.load, Events: r.events, Clock: r.options.Clock,
 		})),
 		announce: announcer.New(r.announce, r.recorder),
+		ready:    r.readiness(),
+		reports:  r.announcements(),
 		metrics:  promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
 	})
 }
@@ -179,7 +196,11 @@
 	go r.controller.Run(background)
 	go r.observer.Run(background)
 	go r.join(background)
-	go r.poll(background)
+	if r.options.Source != nil {
+		go r.follow(background)
+	} else {
+		go r.poll(background)
+	}
 	failed := r.servers.serve()
 	select {
 	case err := <-failed:
@@ -225,7 +246,7 @@
 }
 
 func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
-	r.controller.Do(controller.Announce{Backend: backend})
+	r.controller.Do(controller.Announce{Announcement: eelgrasspoint.Announcement{Backend: backend}})
 }
 
 func (r *Runner) reportCrash(crash executor.Crash) {
--- a/runner/servers.go
+++ b/runner/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,12 +32,23 @@
 // handlers are what the three servers serve.
 type handlers struct {
 	callers, attempts, exchange, operators, announce, metrics http.Handler
+	// ready and reports are optional.
+	ready, reports http.Handler
 }
 
 // servers are the node's three listening sides.
 type servers struct {
 	callers, peers, control       *http.Server
 	callersOn, peersOn, controlOn net.Listener
+	// optional serve addresses that not every platform has.
+	optional []optionalServer
+}
+
+// optionalServer serves an address that may be left out of the settings.
+type optionalServer struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
 }
 
 func newServers(h handlers) servers {
@@ -44,6 +56,10 @@
 		callers: callerServer(h.callers),
 		peers:   peerServer(h.attempts, h.exchange),
 		control: controlServer(h),
+		optional: []optionalServer{
+			{name: "ReadyAddress", server: smallServer(h.ready)},
+			{name: "AnnounceAddress", server: smallServer(h.reports)},
+		},
 	}
 }
 
@@ -83,6 +99,11 @@
 	}
 }
 
+// smallServer takes short calls without bodies to speak of.
+func smallServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
 func controlServer(h handlers) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(schema.OperatorsPathPrefix, h.operators)
@@ -102,12 +123,25 @@
 	if s.controlOn, err = listen("tcp", settings.ControlAddress.String()); err != nil {
 		return trace.Wrap(err, "ControlAddress %v", settings.ControlAddress)
 	}
+	return s.listenOptional(listen, settings)
+}
+
+func (s *servers) listenOptional(listen func(network, address string) (net.Listener, error), settings *loader.Settings) error {
+	for i, address := range []netip.AddrPort{settings.ReadyAddress, settings.AnnounceAddress} {
+		if !address.IsValid() {
+			continue
+		}
+		var err error
+		if s.optional[i].listener, err = listen("tcp", address.String()); err != nil {
+			return trace.Wrap(err, "%s %v", s.optional[i].name, address)
+		}
+	}
 	return nil
 }
 
 // serve starts all three and returns where the first failure arrives.
 func (s *servers) serve() <-chan error {
-	failed := make(chan error, 3)
+	failed := make(chan error, 3+len(s.optional))
 	start := func(server *http.Server, listener net.Listener) {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
@@ -116,16 +150,21 @@
 	go start(s.callers, marker.New(s.callersOn))
 	go start(s.peers, s.peersOn)
 	go start(s.control, s.controlOn)
+	for _, o := range s.optional {
+		if o.listener != nil {
+			go start(o.server, o.listener)
+		}
+	}
 	return failed
 }
 
 // shutdown waits for what is in flight: first the callers, whose requests may need the peers.
 func (s *servers) shutdown(ctx context.Context) error {
-	return trace.NewAggregate(
-		s.callers.Shutdown(ctx),
-		s.peers.Shutdown(ctx),
-		s.control.Shutdown(ctx),
-	)
+	errs := []error{s.callers.Shutdown(ctx), s.peers.Shutdown(ctx), s.control.Shutdown(ctx)}
+	for _, o := range s.optional {
+		errs = append(errs, o.server.Shutdown(ctx))
+	}
+	return trace.NewAggregate(errs...)
 }
 
 // close ends all three without waiting.
@@ -133,4 +172,7 @@
 	_ = s.callers.Close()
 	_ = s.peers.Close()
 	_ = s.control.Close()
+	for _, o := range s.optional {
+		_ = o.server.Close()
+	}
 }
--- /dev/null
+++ b/runner/source.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+)
+
+// Pauses between tries to reach the source of the configuration.
+const (
+	minSourceRetry = 200 * time.Millisecond
+	maxSourceRetry = time.Second
+)
+
+// follow puts each published configuration in force.
+func (r *Runner) follow(ctx context.Context) {
+	pause := minSourceRetry
+	for ctx.Err() == nil {
+		configuration, err := r.options.Source.Next(ctx)
+		var invalid *eelgrasspoint.InvalidError
+		switch {
+		case errors.As(err, &invalid):
+			r.record(eelgrasspoint.EventBadInput, "configuration: "+invalid.Error())
+		case err != nil:
+			r.storeDown(ctx, err)
+			r.sleep(ctx, pause)
+			pause = min(2*pause, maxSourceRetry)
+			continue
+		}
+		pause = minSourceRetry
+		r.storeBack()
+		if configuration.Revision > r.revision() {
+			r.controller.Do(controller.Replace{Configuration: configuration})
+			r.settle()
+		}
+	}
+}
+
+// settle waits until what was handed to the controller is in force.
+func (r *Runner) settle() {
+	done := make(chan struct{})
+	r.controller.Do(controller.Barrier{Done: done})
+	select {
+	case <-done:
+	case <-r.controller.Stopped():
+	}
+}
+
+// announcements takes what the backend server says; its answer is given once that is in force.
+func (r *Runner) announcements() http.Handler {
+	if r.options.Announcements == nil {
+		return http.NotFoundHandler()
+	}
+	return r.options.Announcements(func(a eelgrasspoint.Announcement) {
+		if a.Backend != nil {
+			a.Backend.Connections = r.connections(a.Backend.Service)
+		}
+		r.controller.Do(controller.Announce{Announcement: a})
+		r.settle()
+	}, r.recorder)
+}
+
+// connections returns how many connections a backend server of the service accepts.
+func (r *Runner) connections(service string) uint32 {
+	for _, s := range r.holder.Load().Configuration.Document.Services {
+		if s.Name == service && s.Connections > 0 {
+			return s.Connections
+		}
+	}
+	return eelgrasspoint.DefaultConnections
+}
+
+func (r *Runner) readiness() http.Handler {
+	if r.options.Readiness == nil {
+		return http.NotFoundHandler()
+	}
+	return r.options.Readiness(r.ready)
+}
+
+// ready reports whether the node takes callers.
+func (r *Runner) ready() bool {
+	return !r.stopping.Load() && r.revision() > 0
+}
--- a/state/checker/checker.go
+++ b/state/checker/checker.go
@@ -113,9 +113,7 @@
 			c.add(fmt.Sprintf("%s.Methods[%d]", path, i), "%q is not a method such as GET", method)
 		}
 	}
-	if !slices.ContainsFunc(c.document.Services, func(s eelgrasspoint.Service) bool { return s.Name == r.Service }) {
-		c.add(path+".Service", "service %q is not defined", r.Service)
-	}
+	c.services(path, r)
 	if r.TimeLimit < 0 || r.TimeLimit > eelgrasspoint.MaxTimeLimit {
 		c.add(path+".TimeLimit", "%v is not between 0s and %v", r.TimeLimit, eelgrasspoint.MaxTimeLimit)
 	}
@@ -125,6 +123,31 @@
 	c.homeRegions(path, r.HomeRegions)
 }
 
+// services checks where a route leads: to one service, or to several by weight.
+func (c *Checker) services(path string, r *eelgrasspoint.Route) {
+	if len(r.Split) == 0 {
+		c.service(path+".Service", r.Service)
+		return
+	}
+	if r.Service != "" {
+		c.add(path+".Service", "must be left out beside Split")
+	}
+	var total uint32
+	for i, share := range r.Split {
+		c.service(fmt.Sprintf("%s.Split[%d].Service", path, i), share.Service)
+		total += share.Weight
+	}
+	if total == 0 {
+		c.add(path+".Split", "has no weight above 0")
+	}
+}
+
+func (c *Checker) service(path, name string) {
+	if !slices.ContainsFunc(c.document.Services, func(s eelgrasspoint.Service) bool { return s.Name == name }) {
+		c.add(path, "service %q is not defined", name)
+	}
+}
+
 func (c *Checker) clients() {
 	for _, client := range c.document.Clients {
 		c.homeRegions(fmt.Sprintf("Clients[%s]", client.Name), client.HomeRegions)
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -38,8 +38,47 @@
 	LogLevel       string
 	MaxBodyBytes   int64
 	StopTimeout    time.Duration
+	// Contract names how callers, backend servers and the platform are spoken to.
+	Contract string
+	// AvailabilityZones maps all availability zones to their regions.
+	AvailabilityZones map[string]string
+	// ReadyAddress answers whether the node takes callers; AnnounceAddress takes the
+	// announcements of the backend server. Both are optional and go with ContractPlatform.
+	ReadyAddress    netip.AddrPort
+	AnnounceAddress netip.AddrPort
+	// Service is that of the backend server beside the node.
+	Service string
+	// BackendAddress is where the backend server listens, or not valid before it announces itself.
+	BackendAddress netip.AddrPort
+	// AnnouncementTTL is how long an announcement holds.
+	AnnouncementTTL time.Duration
+	// DrainTimeout is how long a stopping node goes on taking callers.
+	DrainTimeout time.Duration
+	RetryBudget  RetryBudget
+	ColdStart    ColdStart
 }
 
+// RetryBudget bounds the attempts beyond the first of all nodes together, for each service:
+// within Window at most Share of its requests, and Slack more.
+type RetryBudget struct {
+	Share  float64
+	Window time.Duration
+	Slack  int
+}
+
+// ColdStart bounds the requests of one second to a cold backend server: Overshoot times the
+// rate that its service bears, and Slack more.
+type ColdStart struct {
+	Overshoot float64
+	Slack     int
+}
+
+// Contracts with callers, backend servers and the platform.
+const (
+	ContractOwn      = "own"
+	ContractPlatform = "platform"
+)
+
 // Defaults of settings that may be left out.
 const (
 	defaultCluster      = "eelgrass"
@@ -62,6 +101,7 @@
 	settings := &Settings{
 		Cluster: defaultCluster, LogLevel: defaultLogLevel,
 		MaxBodyBytes: defaultMaxBodyBytes, StopTimeout: defaultStopTimeout,
+		Contract: ContractOwn, AnnouncementTTL: eelgrasspoint.AnnouncementTTL,
 	}
 	var mistakes []eelgrasspoint.Mistake
 	if err := decoder.Decode(data, settings); err != nil {
@@ -95,7 +135,10 @@
 			add(path, "is required, as an IP number and port such as 10.0.0.7:7000")
 		}
 	}
-	if s.Platform.IsValid() && s.PlatformRegion == "" {
+	if s.Contract != ContractOwn && s.Contract != ContractPlatform {
+		add("Contract", "must be own or platform")
+	}
+	if s.Contract == ContractOwn && s.Platform.IsValid() && s.PlatformRegion == "" {
 		add("PlatformRegion", "is required with Platform")
 	}
 	if s.PeerAddress.IsValid() && (s.PeerAddress.Addr().IsUnspecified() || s.PeerAddress.Port() == 0) {
--- a/transport/answerer/answerer.go
+++ b/transport/answerer/answerer.go
@@ -29,6 +29,7 @@
 	Executor eelgrasspoint.Carrier
 	Load     func() eelgrasspoint.Load
 	Clock    eelgrasspoint.Clock
+	Contract eelgrasspoint.Contract
 	// Measuring is the budget of load hints that cross the link to another region.
 	Measuring *budgeter.Budgeter
 	// Count is told of the bytes of load hints, by link.
@@ -70,18 +71,29 @@
 		RequestID: label.RequestID, Client: label.Client, Route: label.Route, Depth: label.Depth,
 		Fingerprint: label.Fingerprint, Attempt: label.Attempt, Insists: label.Insists,
 		Deadline: a.Clock().Add(label.Remaining), Permitted: label.Permitted,
+		Caller: label.Caller, Revision: label.Revision,
 	}
 	if err != nil {
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, err.Error())
 	}
 	snapshot := a.Holder.Load()
+	meta.Service = label.Service
+	meta.Weight = label.Weight
+	region := snapshot.Self.Region
+	if label.Revision > snapshot.Configuration.Revision {
+		// The entry node knows more than this one.
+		if !meta.Permits(region) {
+			return meta, eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
+		}
+		return meta, nil
+	}
 	route := snapshot.Router.Route(label.Route)
-	if route == nil {
+	if route == nil || !route.Allows(label.Service) {
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.StaleRoute, "")
 	}
 	meta.SetRoute(route)
+	meta.Service = label.Service
 	own, lawful := snapshot.Router.Permitted(route, label.Client)
-	region := snapshot.Self.Region
 	if !lawful || !meta.Permits(region) || len(own) > 0 && !slices.Contains(own, region) {
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 	}
@@ -95,7 +107,7 @@
 	labeler.Strip(r.Header)
 	r.Header.Del("Expect")
 	return &eelgrasspoint.Attempt{
-		Meta: *meta, Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host,
+		Meta: *meta, Method: r.Method, Target: r.RequestURI, Host: r.Host,
 		Header: r.Header, Body: r.Body, Length: r.ContentLength,
 	}
 }
@@ -126,5 +138,5 @@
 func (a *Answerer) refuse(w http.ResponseWriter, from, requestID string, err *eelgrasspoint.OutcomeError) {
 	w.Header()[eelgrasspoint.HeaderReason] = []string{err.Reason.String()}
 	a.hint(w.Header(), from)
-	refuser.Write(w, requestID, err)
+	refuser.Write(w, a.Contract, requestID, err)
 }
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -72,12 +72,7 @@
 	header := attempt.Header.Clone()
 	labeler.Write(header, &attempt.Meta, c.clock())
 	header[eelgrasspoint.HeaderFrom] = []string{c.region}
-	target, err := url.ParseRequestURI(attempt.Target)
-	if err != nil {
-		target = &url.URL{Path: "/"}
-	}
-	target.Scheme = "http"
-	target.Host = candidate.PeerAddress.String()
+	target := &url.URL{Scheme: "http", Host: candidate.PeerAddress.String(), Opaque: attempt.Target}
 	request := &http.Request{
 		Method:        attempt.Method,
 		URL:           target,
