Exit nodes refuse while their backend server says it is slow; zones first; whole short answers

Backend servers here tell their load, and the figure of slowness changes between 1 and 5 every 150 ms. The exit node now trusts that figure for 25 ms, asks the health path when it is older, and refuses requests that can go elsewhere (SlowServer, nothing reached the backend server); after three refusals, or where there is no other, the entry node insists. Candidates in the own availability zone go first. Ruled out: queueing at the exit node without asking (no figure known).

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/platform"
 	"eelgrasspoint/runner"
 	"eelgrasspoint/state/loader"
@@ -70,6 +71,8 @@
 	}
 	options.Source = platform.NewSource(calls, settings.AvailabilityZones)
 	options.Contract = platform.Contract{}
+	options.TellsLoad = true
+	options.Limiter = limiter.NewFixed(eelgrasspoint.DefaultSlots)
 	options.Announcements = platform.Announcements
 	options.Readiness = platform.Readiness
 }
--- a/constants.go
+++ b/constants.go
@@ -26,6 +26,7 @@
 	HeaderRevision    = "Eelgrass-Revision"
 	HeaderService     = "Eelgrass-Service"
 	HeaderWeight      = "Eelgrass-Weight"
+	HeaderTarget      = "Eelgrass-Target"
 )
 
 // Limits of one request.
@@ -36,6 +37,9 @@
 	MaxDepth             = 16
 	MaxRequestIDBytes    = 128
 	MaxAttempts          = 4
+	MaxTries             = 6
+	MaxRedirects         = 3
+	MaxPrefetchBytes     = 64 << 10
 	DefaultTimeLimit     = 10 * time.Second
 	MaxTimeLimit         = 10 * time.Minute
 	MinAttemptTime       = 2 * time.Millisecond
@@ -122,6 +126,8 @@
 // Load hints and the cost of measuring.
 const (
 	HintHalfLife            = 200 * time.Millisecond
+	SlowFactor              = 2.0
+	SlowHintTime            = 60 * time.Millisecond
 	LatencySmoothing        = 0.2
 	ErrorHalfLife           = 2 * time.Second
 	ErrorPenalty            = 20.0
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -13,6 +13,8 @@
 // Admitter is safe for concurrent use.
 type Admitter struct {
 	clock eelgrasspoint.Clock
+	// tellsLoad is set if the backend server itself says how slow it is.
+	tellsLoad bool
 
 	mu      sync.Mutex
 	limiter eelgrasspoint.Limiter
@@ -23,6 +25,7 @@
 	// begun sums up when the requests in use began, counted from epoch.
 	begun time.Duration
 	epoch time.Time
+	cold  cold
 }
 
 // New returns an admitter with an empty queue.
@@ -30,6 +33,18 @@
 	return &Admitter{limiter: limiter, clock: clock, epoch: clock()}
 }
 
+// NewTold returns an admitter for a backend server that tells its load. Requests that do not
+// insist take only its fast slots and never wait.
+func NewTold(limiter eelgrasspoint.Limiter, clock eelgrasspoint.Clock) *Admitter {
+	a := New(limiter, clock)
+	a.tellsLoad = true
+	a.cold.blindUntil = clock().Add(coldWindow)
+	return a
+}
+
+// fastShare is the part of its slots that a backend server works in at full speed.
+const fastShare = 0.8
+
 // Admit returns when the request may run, and that moment, which goes into the sample of the
 // one Release that must follow. The error is an *eelgrasspoint.OutcomeError with outcome NotRun.
 func (a *Admitter) Admit(ctx context.Context, meta *eelgrasspoint.Meta) (time.Time, error) {
@@ -116,14 +131,20 @@
 	if age > 0 {
 		a.limiter.Watch(age, now)
 	}
-	if !meta.Insists && a.service.slow(age, now) {
+	if !a.cold.admits(now) {
+		return nil, time.Time{}, a.cold.refuse(now)
+	}
+	if !meta.Insists && !a.tellsLoad && a.service.slow(age, now) {
 		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
-	if a.queue.Len() == 0 && a.inUse < a.limiter.Limit() {
+	if a.queue.Len() == 0 && a.inUse < a.limitFor(meta) {
 		a.take(now)
 		return nil, now, nil
 	}
-	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, verdict: make(chan eelgrasspoint.Reason, 1)}
+	if a.tellsLoad && !meta.Insists {
+		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
+	}
+	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, patience: patience(meta), verdict: make(chan eelgrasspoint.Reason, 1)}
 	if !a.canFinish(w) {
 		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
@@ -134,8 +155,19 @@
 	return w, time.Time{}, nil
 }
 
+// limitFor leaves the slots in which the backend server is slower to requests that have no
+// other way.
+func (a *Admitter) limitFor(meta *eelgrasspoint.Meta) int {
+	limit := a.limiter.Limit()
+	if a.tellsLoad && !meta.Insists {
+		return max(1, int(fastShare*float64(limit)))
+	}
+	return limit
+}
+
 func (a *Admitter) take(now time.Time) {
 	a.inUse++
+	a.cold.count(now)
 	a.begun += now.Sub(a.epoch)
 }
 
@@ -174,7 +206,7 @@
 	limit := max(a.limiter.Limit(), 1)
 	ahead := a.queue.ahead(w) + 1
 	wait := a.service.recent * time.Duration(ahead) / time.Duration(limit)
-	if wait > eelgrasspoint.MaxQueueWait {
+	if wait > w.patience {
 		return false
 	}
 	return w.deadline.IsZero() || !a.clock().Add(wait+a.service.recent).After(w.deadline)
@@ -187,7 +219,7 @@
 // grant hands free slots to the waiters that go first, refusing those that are too late.
 func (a *Admitter) grant() {
 	now := a.clock()
-	for a.queue.Len() > 0 && a.inUse < a.limiter.Limit() {
+	for a.queue.Len() > 0 && a.inUse < a.limiter.Limit() && a.cold.admits(now) {
 		w := a.queue.popBest()
 		if !w.deadline.IsZero() && now.Add(a.service.recent/2).After(w.deadline) {
 			w.verdict <- eelgrasspoint.DeadlinePassed
@@ -216,9 +248,20 @@
 
 func (a *Admitter) waitLimit(meta *eelgrasspoint.Meta) time.Duration {
 	if meta.Deadline.IsZero() {
+		return patience(meta)
+	}
+	return min(patience(meta), eelgrasspoint.Remaining(meta.Deadline, a.clock()))
+}
+
+// queueShare is the part of its target latency that a request may wait for a slot.
+const queueShare = 0.4
+
+// patience is how long a request may wait for a slot.
+func patience(meta *eelgrasspoint.Meta) time.Duration {
+	if meta.TargetLatency == 0 {
 		return eelgrasspoint.MaxQueueWait
 	}
-	return min(eelgrasspoint.MaxQueueWait, eelgrasspoint.Remaining(meta.Deadline, a.clock()))
+	return time.Duration(queueShare * float64(meta.TargetLatency))
 }
 
 func refusal(reason eelgrasspoint.Reason) error {
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -11,6 +11,7 @@
 type waiter struct {
 	weight   uint32
 	deadline time.Time
+	patience time.Duration
 	began    time.Time
 	verdict  chan eelgrasspoint.Reason
 }
--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -41,6 +41,8 @@
 // The candidates known to be bad are for first attempts alone: a retry to them would
 // add load to a service that is down.
 var preferences = []preference{
+	{accepts: nearAndFast},
+	{accepts: localAndFast},
 	{accepts: localWithRoom},
 	{accepts: remoteWithRoom},
 	{accepts: localHealthy},
@@ -51,6 +53,21 @@
 	return p.firstOnly && len(need.Tried) > 0
 }
 
+// nearAndFast keeps requests in their availability zone while a backend server there has room.
+func nearAndFast(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time) bool {
+	return c.AvailabilityZone == need.AvailabilityZone && localAndFast(c, need, now)
+}
+
+func localAndFast(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time) bool {
+	return localWithRoom(c, need, now) && !slowLately(c, now)
+}
+
+// slowLately reports whether the candidate said a moment ago that it is slow.
+func slowLately(c *eelgrasspoint.Candidate, now time.Time) bool {
+	load, at := c.Gauge.Load()
+	return load.Slowness >= eelgrasspoint.SlowFactor && now.Sub(at) < eelgrasspoint.SlowHintTime
+}
+
 func localWithRoom(c *eelgrasspoint.Candidate, need *eelgrasspoint.Need, now time.Time) bool {
 	return localHealthy(c, need, now) && hasRoom(c, now)
 }
@@ -133,7 +150,7 @@
 	if at.IsZero() || now.Sub(at) > eelgrasspoint.HintHalfLife {
 		return c.Gauge.InFlight() < int64(max(c.Slots, 1))*2
 	}
-	return load.InUse+load.Queued < load.Limit*2
+	return load.InUse+load.Queued < load.Limit
 }
 
 // expected estimates how long the request would take at the candidate.
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -63,6 +63,9 @@
 
 // New returns a controller that knows only its own node.
 func New(options Options) *Controller {
+	if options.AnnouncementTTL == 0 {
+		options.AnnouncementTTL = eelgrasspoint.AnnouncementTTL
+	}
 	c := &Controller{
 		options:       options,
 		commands:      make(chan Command, 64),
@@ -220,6 +223,7 @@
 		Router:        c.router,
 		Candidates:    c.candidates(members),
 		Draining:      c.draining,
+		Nodes:         alive(members),
 	})
 }
 
@@ -269,6 +273,16 @@
 	return candidates
 }
 
+func alive(members []eelgrasspoint.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
 func takesWork(m eelgrasspoint.Member) bool {
 	return m.Alive() && m.BackendServer != nil && !m.BackendServer.Draining
 }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -27,6 +27,7 @@
 	suspects int
 	crash    *pendingCrash
 	load     timedLoad
+	health   healthCheck
 }
 
 // Options are what an executor depends on.
@@ -38,6 +39,10 @@
 	Clock       eelgrasspoint.Clock
 	Dial        dialer.Func
 	Contract    eelgrasspoint.Contract
+	// TellsLoad is set if backend servers tell their load.
+	TellsLoad bool
+	// CountCheck is told of each health check.
+	CountCheck func()
 	// Report tells the other exit nodes of the service about a crash.
 	Report func(Crash)
 }
@@ -83,6 +88,7 @@
 	}
 	if old == nil || old.Incarnation != backend.Incarnation || old.Address != backend.Address {
 		e.options.Admitter.Reset(int(backend.Slots))
+		e.load = timedLoad{}
 		e.replaceTransport(backend)
 		e.confirmCrash()
 	}
@@ -98,7 +104,15 @@
 }
 
 // Load returns the present counts of the backend server's work.
-func (e *Executor) Load() eelgrasspoint.Load { return e.options.Admitter.Load() }
+func (e *Executor) Load() eelgrasspoint.Load {
+	load := e.options.Admitter.Load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.load.at.IsZero() {
+		load.Slowness = e.load.load.Slowness
+	}
+	return load
+}
 
 // Carry admits the attempt, runs it and returns the backend server's answer. The slot is
 // held until the answer's body is closed.
@@ -106,6 +120,9 @@
 	if err := e.check(&attempt.Meta); err != nil {
 		return nil, err
 	}
+	if !attempt.Meta.Insists && e.slowNow(ctx) {
+		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
+	}
 	admitted, err := e.options.Admitter.Admit(ctx, &attempt.Meta)
 	if err != nil {
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -1,17 +1,39 @@
 package executor
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
 	"time"
 
 	"eelgrasspoint"
 )
 
+// Bounds of what is known of the backend server's speed.
+const (
+	// maxLoadAge is how long a word on the backend server's speed is relied upon.
+	maxLoadAge = 25 * time.Millisecond
+	// healthCheckTimeout bounds a health check; without an answer the speed is not known.
+	healthCheckTimeout = 40 * time.Millisecond
+	// maxHealthAge is how long a health check is relied upon for whether the backend server is cold.
+	maxHealthAge = 500 * time.Millisecond
+	// maxDrainBytes bounds what is read of an answer that nobody wants.
+	maxDrainBytes = 4 << 10
+)
+
 // timedLoad is what the backend server last said of its work.
 type timedLoad struct {
 	load eelgrasspoint.ServerLoad
 	at   time.Time
 }
 
+// healthCheck is the one that is under way, if any, and when the last was answered.
+type healthCheck struct {
+	running chan struct{}
+	at      time.Time
+}
+
 // learnLoad keeps what the backend server said beside an answer.
 func (e *Executor) learnLoad(remark eelgrasspoint.Remark) {
 	if !remark.HasLoad {
@@ -22,10 +44,110 @@
 	e.load = timedLoad{load: remark.Load, at: e.options.Clock()}
 }
 
-// ServerLoad returns what the backend server last said of its work, and when; the time is zero
-// if it said nothing.
-func (e *Executor) ServerLoad() (eelgrasspoint.ServerLoad, time.Time) {
+// Forget makes the next request ask the backend server anew how it is.
+func (e *Executor) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load.at = time.Time{}
+	e.health.at = time.Time{}
+}
+
+// slowNow reports whether the backend server says that it is slow at this moment. It is asked
+// if what it said last is too old.
+func (e *Executor) slowNow(ctx context.Context) bool {
+	path := e.healthPath()
+	if path == "" {
+		return false
+	}
+	if done := e.askIfOld(path); done != nil {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.load.Slowness >= eelgrasspoint.SlowFactor && e.options.Clock().Sub(e.load.at) <= maxLoadAge
+}
+
+// askIfOld starts a health check, or joins the one under way, unless what is known is fresh.
+func (e *Executor) askIfOld(path string) <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.options.Clock()
+	if now.Sub(e.load.at) <= maxLoadAge && now.Sub(e.health.at) <= maxHealthAge {
+		return nil
+	}
+	if e.health.running == nil {
+		e.health.running = make(chan struct{})
+		go e.checkHealth(path, e.health.running)
+	}
+	return e.health.running
+}
+
+// healthPath returns where the backend server answers health checks, or nothing.
+func (e *Executor) healthPath() string {
+	if !e.options.TellsLoad {
+		return ""
+	}
+	e.mu.Lock()
+	backend := e.backend
+	e.mu.Unlock()
+	if backend == nil {
+		return ""
+	}
+	for _, service := range e.options.Holder.Load().Configuration.Document.Services {
+		if service.Name == backend.Service {
+			return service.HealthPath
+		}
+	}
+	return ""
+}
+
+// checkHealth asks the backend server how it is and closes done.
+func (e *Executor) checkHealth(path string, done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
+	defer cancel()
+	health, err := e.askHealth(ctx, path)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.load.load, e.load.at
+	e.health.running = nil
+	defer close(done)
+	if err != nil {
+		return
+	}
+	now := e.options.Clock()
+	e.health.at = now
+	if health.HasLoad {
+		e.load = timedLoad{load: health.Load, at: now}
+	}
+	if health.Cold > 0 || e.options.Admitter.Cold() {
+		e.options.Admitter.SetCold(health.Cold)
+	}
+}
+
+func (e *Executor) askHealth(ctx context.Context, path string) (eelgrasspoint.Health, error) {
+	e.mu.Lock()
+	backend, transport := e.backend, e.transport
+	e.mu.Unlock()
+	if backend == nil {
+		return eelgrasspoint.Health{}, eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
+	}
+	e.options.CountCheck()
+	request := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: backend.Address.String(), Path: path},
+		Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	response, err := transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return eelgrasspoint.Health{}, err
+	}
+	defer drain(response)
+	return e.options.Contract.ReadHealth(response), nil
+}
+
+// drain reads what is left of a short answer, so that its connection can be used again.
+func drain(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
+	response.Body.Close()
 }
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -59,7 +59,7 @@
 	}
 	// Closed unread, its connection is not used again.
 	response.Body.Close()
-	r.executor.end(r, eelgrasspoint.Sample{Shed: remark.Reason == eelgrasspoint.Overloaded, Ignored: err != nil})
+	r.executor.end(r, eelgrasspoint.Sample{Shed: remark.Reason == eelgrasspoint.RejectedByServer, Ignored: err != nil})
 	if err != nil {
 		return nil, err
 	}
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -42,7 +42,9 @@
 	Clock        eelgrasspoint.Clock
 	Random       *rand.Rand
 	MaxBodyBytes int64
-	Contract     eelgrasspoint.Contract
+	// CatchUp fetches from a candidate's node what was configured after a revision.
+	CatchUp  func(ctx context.Context, from *eelgrasspoint.Candidate, after uint64)
+	Contract eelgrasspoint.Contract
 	// Service is that of the backend server beside the node.
 	Service string
 }
--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -47,7 +47,7 @@
 // second returns another candidate if the budget allows one.
 func (p *passage) second() *eelgrasspoint.Candidate {
 	candidate := p.choose()
-	if candidate == nil || !p.forwarder.Retrier.Spend(retrier.Hedge) {
+	if candidate == nil || !p.forwarder.Retrier.Spend(p.meta.Service, retrier.Hedge) {
 		return nil
 	}
 	p.forwarder.Meter.Hedge(p.meta.Service)
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -1,10 +1,12 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +30,12 @@
 	header   http.Header
 	tried    []*eelgrasspoint.Candidate
 	attempts int
+	// arrivals counts the attempts that may have reached a backend server.
+	arrivals atomic.Int32
+	// busy are the candidates that refused for their load.
+	busy      []*eelgrasspoint.Candidate
+	insisting bool
+	caughtUp  bool
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun atomic.Bool
 }
@@ -83,15 +91,10 @@
 // run sends attempts until one is answered or none may follow.
 func (p *passage) run(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
 	p.header = p.outgoingHeader()
-	p.forwarder.Retrier.Earn()
+	p.forwarder.Retrier.Earn(p.meta.Service)
 	var last *eelgrasspoint.OutcomeError
 	for {
-		candidate := p.choose()
-		if candidate == nil && last != nil && last.Reason == eelgrasspoint.SlowServer {
-			// A slow backend server is better than none.
-			p.tried = nil
-			candidate = p.choose()
-		}
+		candidate := p.next()
 		if candidate == nil {
 			return nil, p.noCandidate(last)
 		}
@@ -99,15 +102,54 @@
 		if err == nil && !p.replaceAnswer(answer) {
 			return answer, nil
 		}
-		if err != nil {
-			last = p.callerFailure(err)
+		if err == nil {
+			continue
+		}
+		last = p.callerFailure(err)
+		if last.Reason == eelgrasspoint.StaleRoute && p.catchUp(ctx) {
+			continue
 		}
-		if err != nil && !p.mayRetry(last) {
+		if !p.mayRetry(last) {
 			return nil, last
 		}
 	}
 }
 
+// next chooses a candidate, and one that refused for its load after a few such refusals.
+func (p *passage) next() *eelgrasspoint.Candidate {
+	if len(p.busy) >= eelgrasspoint.MaxRedirects {
+		p.insist()
+	}
+	candidate := p.choose()
+	if candidate == nil && p.insist() {
+		candidate = p.choose()
+	}
+	return candidate
+}
+
+// insist makes candidates that refused only for their load eligible again: a busy backend
+// server is better than none.
+func (p *passage) insist() bool {
+	if p.insisting || len(p.busy) == 0 {
+		return false
+	}
+	p.insisting = true
+	p.tried = slices.DeleteFunc(p.tried, func(c *eelgrasspoint.Candidate) bool { return slices.Contains(p.busy, c) })
+	return true
+}
+
+// catchUp fetches the configuration that another node has and looks the route up again.
+func (p *passage) catchUp(ctx context.Context) bool {
+	if p.caughtUp {
+		return false
+	}
+	p.caughtUp = true
+	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
+	p.snapshot = p.forwarder.Holder.Load()
+	p.tried, p.busy = nil, nil
+	return p.snapshot.Configuration.Revision > p.meta.Revision && p.route() == nil
+}
+
 // outgoingHeader is what every attempt carries of the caller's headers.
 func (p *passage) outgoingHeader() http.Header {
 	header := p.request.Header.Clone()
@@ -175,7 +217,7 @@
 	p.tried = append(p.tried, candidate)
 	meta := p.meta
 	meta.Attempt = p.attempts
-	meta.Insists = p.attempts > 0 || !p.forwarder.Retrier.Has(retrier.Redirect)
+	meta.Insists = p.insisting || !p.forwarder.Retrier.Has(p.meta.Service, retrier.Redirect)
 	p.attempts++
 	p.forwarder.Meter.Attempt(meta.Service, meta.Attempt)
 	return meta
@@ -199,15 +241,25 @@
 	if err != nil {
 		gauge.End(began)
 		outcome := eelgrasspoint.AsOutcome(err)
+		if !outcome.Reason.ByExitNode() || outcome.Outcome != eelgrasspoint.NotRun {
+			p.arrivals.Add(1)
+		}
 		if outcome.Outcome != eelgrasspoint.NotRun {
 			p.mayHaveRun.Store(true)
 		}
 		learnFailure(gauge, outcome, now)
 		return nil, err
 	}
+	p.arrivals.Add(1)
 	gauge.Succeed()
 	gauge.ObserveStatus(serverError(answer.Response.StatusCode), now)
 	gauge.Observe(now.Sub(began), now)
+	if err := p.prefetch(answer); err != nil {
+		gauge.End(began)
+		gauge.Fail(now)
+		p.mayHaveRun.Store(true)
+		return nil, &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.LostReason(ctx), Detail: err.Error()}
+	}
 	answer.Response.Body = &countedBody{ReadCloser: answer.Response.Body, passage: p, candidate: candidate, began: began}
 	return answer, nil
 }
@@ -263,14 +315,17 @@
 func (p *passage) mayRetry(last *eelgrasspoint.OutcomeError) bool {
 	failure := retrier.Failure{
 		Err: last, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
-		Attempts: p.attempts, Deadline: p.meta.Deadline,
+		Attempts: int(p.arrivals.Load()), MaxAttempts: int(p.matched.MaxAttempts), Deadline: p.meta.Deadline,
 	}
-	if !retrier.Allowed(failure, p.forwarder.Clock()) {
+	if !retrier.Allowed(failure, p.forwarder.Clock()) || p.attempts >= eelgrasspoint.MaxTries {
 		return false
 	}
 	purpose := retrier.PurposeOf(last)
+	if purpose == retrier.Redirect {
+		p.busy = append(p.busy, p.tried[len(p.tried)-1])
+	}
 	// A redirect that was already answered by "slow" is not given up for the budget's sake.
-	if !p.forwarder.Retrier.Spend(purpose) && purpose != retrier.Redirect {
+	if !p.forwarder.Retrier.Spend(p.meta.Service, purpose) && purpose != retrier.Redirect {
 		return false
 	}
 	p.record(eelgrasspoint.EventRequestRetried, last.Error())
@@ -280,7 +335,7 @@
 // replaceAnswer reports whether an error of the backend server is worth another attempt, and
 // gives the answer up if so.
 func (p *passage) replaceAnswer(answer *eelgrasspoint.Answer) bool {
-	if !serverError(answer.Response.StatusCode) || p.attempts > 1 || !p.meta.Idempotent {
+	if !serverError(answer.Response.StatusCode) || p.arrivals.Load() > 1 || !p.meta.Idempotent {
 		return false
 	}
 	if p.choose() == nil {
@@ -294,6 +349,28 @@
 	return true
 }
 
+// prefetch reads a short answer whole before any of it goes to the caller, so that a request
+// whose answer breaks off can still be sent elsewhere.
+func (p *passage) prefetch(answer *eelgrasspoint.Answer) error {
+	response := answer.Response
+	if response.ContentLength > eelgrasspoint.MaxPrefetchBytes || p.request.Method == http.MethodHead {
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(response.Body, eelgrasspoint.MaxPrefetchBytes))
+	if err != nil {
+		response.Body.Close()
+		return err
+	}
+	response.Body = &headedBody{Reader: io.MultiReader(bytes.NewReader(head), response.Body), Closer: response.Body}
+	return nil
+}
+
+// headedBody is a body whose beginning was read already.
+type headedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // closeUnlessRead ends an HTTP/1.1 connection after an answer that begins before the request's
 // body has ended: net/http can't take the next request from it safely.
 func (p *passage) closeUnlessRead(header http.Header) {
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -8,11 +8,12 @@
 	"eelgrasspoint"
 )
 
-// Retrier holds the budgets of one node: for each purpose, a share of the first attempts may
-// be followed by another. It is safe for concurrent use.
+// Retrier holds the budgets of one node: for each service and purpose, a share of the first
+// attempts may be followed by another. It is safe for concurrent use.
 type Retrier struct {
+	limits Limits
 	mu     sync.Mutex
-	tokens [purposes]float64
+	tokens map[string]*[purposes]float64
 }
 
 // Purpose is what an extra attempt is for.
@@ -27,11 +28,40 @@
 	purposes
 )
 
-// shares are the extra attempts allowed per first attempt.
-var shares = [purposes]float64{
-	Retry:    eelgrasspoint.RetryShare,
-	Hedge:    eelgrasspoint.HedgeShare,
-	Redirect: eelgrasspoint.RedirectShare,
+// Limits bound the extra attempts of one node for one service.
+type Limits struct {
+	// Shares are the extra attempts earned by each first attempt, by purpose.
+	Shares [purposes]float64
+	// Burst returns how many earned attempts are kept, for each purpose.
+	Burst func() float64
+}
+
+// DefaultLimits are those of the project's own contract.
+func DefaultLimits() Limits {
+	return Limits{
+		Shares: [purposes]float64{
+			Retry:    eelgrasspoint.RetryShare,
+			Hedge:    eelgrasspoint.HedgeShare,
+			Redirect: eelgrasspoint.RedirectShare,
+		},
+		Burst: func() float64 { return eelgrasspoint.RetryBurst },
+	}
+}
+
+// Parts of a budget of attempts that reach backend servers, by purpose. Together they stay
+// below the whole: calls that a repeated run makes count as repeats as well.
+const (
+	retryPart = 0.25
+	hedgePart = 0.25
+)
+
+// SharedLimits divide a budget that all nodes share: a share of the first attempts, and slack
+// beside it. Redirects are not bounded, since they follow attempts that reached no backend server.
+func SharedLimits(share float64, slack int, nodes func() int) Limits {
+	return Limits{
+		Shares: [purposes]float64{Retry: retryPart * share, Hedge: hedgePart * share, Redirect: 1},
+		Burst:  func() float64 { return retryPart * float64(slack) / float64(max(1, nodes())) },
+	}
 }
 
 // Failure is what is known when an attempt ended without an answer.
@@ -40,48 +70,69 @@
 	Idempotent bool
 	Replayable bool
 	Attempts   int
-	Deadline   time.Time
+	// MaxAttempts is the route's bound, or zero.
+	MaxAttempts int
+	Deadline    time.Time
 }
 
 // New returns a retrier with full budgets.
-func New() *Retrier {
-	r := &Retrier{}
-	for purpose := range r.tokens {
-		r.tokens[purpose] = eelgrasspoint.RetryBurst
-	}
-	return r
+func New(limits Limits) *Retrier {
+	return &Retrier{limits: limits, tokens: make(map[string]*[purposes]float64)}
 }
 
 // Earn adds the shares of one first attempt.
-func (r *Retrier) Earn() {
+func (r *Retrier) Earn(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for purpose := range r.tokens {
-		r.tokens[purpose] = min(eelgrasspoint.RetryBurst, r.tokens[purpose]+shares[purpose])
+	burst := r.limits.Burst()
+	tokens := r.of(service)
+	for purpose := range tokens {
+		tokens[purpose] = min(burst, tokens[purpose]+r.limits.Shares[purpose])
 	}
 }
 
 // Spend takes one extra attempt from the budget and reports whether there was one.
-func (r *Retrier) Spend(purpose Purpose) bool {
+func (r *Retrier) Spend(service string, purpose Purpose) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.tokens[purpose] < 1 {
+	tokens := r.of(service)
+	if tokens[purpose] < 1 {
 		return false
 	}
-	r.tokens[purpose]--
+	tokens[purpose]--
 	return true
 }
 
 // Has reports whether a budget has an attempt left.
-func (r *Retrier) Has(purpose Purpose) bool {
+func (r *Retrier) Has(service string, purpose Purpose) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tokens[purpose] >= 1
+	return r.of(service)[purpose] >= 1
+}
+
+// of returns the tokens of a service, full when first asked for.
+func (r *Retrier) of(service string) *[purposes]float64 {
+	tokens := r.tokens[service]
+	if tokens == nil {
+		tokens = &[purposes]float64{}
+		for purpose := range tokens {
+			tokens[purpose] = r.limits.Burst()
+		}
+		r.tokens[service] = tokens
+	}
+	return tokens
+}
+
+func (f *Failure) maxAttempts() int {
+	if f.MaxAttempts == 0 {
+		return eelgrasspoint.MaxAttempts
+	}
+	return f.MaxAttempts
 }
 
 // PurposeOf returns the budget that an attempt after the failure is taken from.
 func PurposeOf(err *eelgrasspoint.OutcomeError) Purpose {
-	if err.Outcome == eelgrasspoint.NotRun && err.Reason == eelgrasspoint.SlowServer {
+	if err.Outcome == eelgrasspoint.NotRun && err.Reason.ByExitNode() {
 		return Redirect
 	}
 	return Retry
@@ -90,7 +141,7 @@
 // Allowed reports whether the rules permit another attempt, budget aside. A request that may
 // have run is sent again only if it is idempotent.
 func Allowed(f Failure, now time.Time) bool {
-	if f.Err.Reason.Final() || f.Attempts >= eelgrasspoint.MaxAttempts || !f.Replayable {
+	if f.Err.Reason.Final() || f.Attempts >= f.maxAttempts() || !f.Replayable {
 		return false
 	}
 	if f.Err.Outcome != eelgrasspoint.NotRun && !f.Idempotent {
--- a/coordination/retrier/retrier_test.go
+++ b/coordination/retrier/retrier_test.go
@@ -38,17 +38,17 @@
 }
 
 func TestBudgetsAreApart(t *testing.T) {
-	r := retrier.New()
+	r := retrier.New(retrier.DefaultLimits())
 	for range eelgrasspoint.RetryBurst {
-		assert.Assert(t, r.Spend(retrier.Hedge))
+		assert.Assert(t, r.Spend("s", retrier.Hedge))
 	}
-	assert.Assert(t, !r.Spend(retrier.Hedge))
-	assert.Assert(t, r.Spend(retrier.Retry))
+	assert.Assert(t, !r.Spend("s", retrier.Hedge))
+	assert.Assert(t, r.Spend("s", retrier.Retry))
 	for range 100 {
-		r.Earn()
+		r.Earn("s")
 	}
 	spent := 0
-	for r.Spend(retrier.Hedge) {
+	for r.Spend("s", retrier.Hedge) {
 		spent++
 	}
 	assert.Assert(t, spent >= 4 && spent <= 5, "%d hedges after 100 first attempts", spent)
--- a/event_string.go
+++ b/event_string.go
@@ -38,11 +38,15 @@
 	_ = x[EventBadInput-27]
 	_ = x[EventDrainRequested-28]
 	_ = x[EventIsolationSuspected-29]
+	_ = x[EventAnnouncementStale-30]
+	_ = x[EventRequestAnswered-31]
+	_ = x[EventSettingsReloaded-32]
+	_ = x[EventReadinessChanged-33]
 }
 
-const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspected"
+const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChanged"
 
-var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360}
+var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424}
 
 func (i EventNumber) String() string {
 	idx := int(i) - 0
--- a/member.go
+++ b/member.go
@@ -226,4 +226,6 @@
 	Router        Router
 	Candidates    map[string][]*Candidate
 	Draining      bool
+	// Nodes is the number of nodes that are known to be alive.
+	Nodes int
 }
--- a/outcome.go
+++ b/outcome.go
@@ -50,6 +50,7 @@
 	BadAnswer
 	ColdServer
 	NotReady
+	RejectedByServer
 )
 
 // AttemptState is how far one attempt has come.
@@ -99,9 +100,20 @@
 	}
 }
 
+// ByExitNode reports whether a refusal for the reason is the exit node's own, so that nothing
+// reached its backend server.
+func (r Reason) ByExitNode() bool {
+	switch r {
+	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute:
+		return true
+	default:
+		return false
+	}
+}
+
 // ParseReason returns the reason with the name, or NoReason.
 func ParseReason(name string) Reason {
-	for r := NoReason; r <= NotReady; r++ {
+	for r := NoReason; r <= RejectedByServer; r++ {
 		if r.String() == name {
 			return r
 		}
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -56,11 +56,12 @@
 	_ = x[BadAnswer-25]
 	_ = x[ColdServer-26]
 	_ = x[NotReady-27]
+	_ = x[RejectedByServer-28]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledKeyInDoubtKeyAlreadyUsedLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReady"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledKeyInDoubtKeyAlreadyUsedLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServer"
 
-var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 218, 228, 238, 247, 257, 268, 277, 287, 295}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 218, 228, 238, 247, 257, 268, 277, 287, 295, 311}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/protocol/labeler/labeler.go
+++ b/protocol/labeler/labeler.go
@@ -26,6 +26,7 @@
 	Revision    uint64
 	Service     string
 	Weight      uint32
+	Target      time.Duration
 }
 
 // nodeHeaders are spoken between nodes and taken off everything else.
@@ -34,6 +35,7 @@
 	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
 	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderFrom, eelgrasspoint.HeaderInsists,
 	eelgrasspoint.HeaderCaller, eelgrasspoint.HeaderRevision, eelgrasspoint.HeaderService, eelgrasspoint.HeaderWeight,
+	eelgrasspoint.HeaderTarget,
 }
 
 // Strip removes the headers that only nodes may set.
@@ -57,6 +59,9 @@
 	}
 	header[eelgrasspoint.HeaderService] = []string{meta.Service}
 	header[eelgrasspoint.HeaderWeight] = []string{strconv.FormatUint(uint64(meta.Weight), 10)}
+	if meta.TargetLatency > 0 {
+		header[eelgrasspoint.HeaderTarget] = []string{meta.TargetLatency.String()}
+	}
 	if meta.Insists {
 		header[eelgrasspoint.HeaderInsists] = []string{"1"}
 	}
@@ -91,6 +96,11 @@
 		return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderWeight, err)
 	}
 	label.Weight = uint32(weight)
+	if text := header.Get(eelgrasspoint.HeaderTarget); text != "" {
+		if label.Target, err = time.ParseDuration(text); err != nil {
+			return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderTarget, err)
+		}
+	}
 	if text := header.Get(eelgrasspoint.HeaderRevision); text != "" {
 		if label.Revision, err = strconv.ParseUint(text, 10, 64); err != nil {
 			return label, fmt.Errorf("%s: %w", eelgrasspoint.HeaderRevision, err)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -85,6 +85,8 @@
 	Source eelgrasspoint.Source
 	// Contract is the one with callers and backend servers; the default is the project's own.
 	Contract eelgrasspoint.Contract
+	// TellsLoad is set if backend servers tell their load beside their answers.
+	TellsLoad bool
 	// Announcements and Readiness serve the addresses of the settings with the same names.
 	Announcements func(announce func(eelgrasspoint.Announcement), recorder eelgrasspoint.Recorder) http.Handler
 	Readiness     func(ready func() bool) http.Handler
@@ -124,11 +126,15 @@
 		limit = limiter.New(eelgrasspoint.DefaultSlots)
 	}
 	r.admitter = admitter.New(limit, clock)
+	if r.options.TellsLoad {
+		r.admitter = admitter.NewTold(limit, clock)
+	}
 	r.quarantine = quarantiner.New(clock)
 	r.client = &http.Client{Transport: caller.NewTransport(r.control.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantine, Recorder: r.recorder,
 		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
+		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.HealthCheck,
 	})
 	r.peers = caller.New(r.options.Dial, r.settings.Region, clock)
 }
@@ -142,7 +148,7 @@
 		},
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
-		AnnouncementTTL: r.settings.AnnouncementTTL,
+		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold,
 	})
 	r.observer = observer.New(observer.Options{
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
@@ -159,14 +165,14 @@
 func (r *Runner) buildServers() servers {
 	return newServers(handlers{
 		callers: forwarder.New(forwarder.Options{
-			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(), Link: r.link, Claimer: r.claimer, Peers: r.peers,
+			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(r.retryLimits()), Link: r.link, Claimer: r.claimer, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
-			Contract: r.options.Contract, Service: r.settings.Service,
+			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom,
 		}),
 		attempts: answerer.New(answerer.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
-			Contract: r.options.Contract,
+			Contract:  r.options.Contract,
 			Measuring: r.measuring, Count: r.meter.Measuring,
 		}),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
@@ -229,6 +235,23 @@
 	return chooser.New()
 }
 
+// retryLimits are those of the settings, or of the project's own contract.
+func (r *Runner) retryLimits() retrier.Limits {
+	budget := r.settings.RetryBudget
+	if budget.Window == 0 {
+		return retrier.DefaultLimits()
+	}
+	return retrier.SharedLimits(budget.Share, budget.Slack, func() int { return r.holder.Load().Nodes })
+}
+
+// catchUpFrom fetches what another node has configured after a revision and waits until it is in force.
+func (r *Runner) catchUpFrom(ctx context.Context, from *eelgrasspoint.Candidate, after uint64) {
+	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
+	defer cancel()
+	r.observer.Pull(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
+	r.settle()
+}
+
 func (r *Runner) random() *rand.Rand { return eelgrasspoint.NewRandom(r.options.Seed) }
 
 func (r *Runner) load() eelgrasspoint.Load { return r.admitter.Load() }
@@ -287,6 +310,16 @@
 	}
 	r.link.SetRate(link / uint32(max(nodesInRegion, 1)))
 	r.measuring.SetRate(measuring)
+	r.setColdLimit(document)
+}
+
+// setColdLimit bounds the rate of requests to the backend server while it is cold.
+func (r *Runner) setColdLimit(document *eelgrasspoint.Document) {
+	for _, service := range document.Services {
+		if service.Name == r.settings.Service && service.ColdRate > 0 {
+			r.admitter.SetColdLimit(max(1, int(service.ColdRate)))
+		}
+	}
 }
 
 func (r *Runner) record(number eelgrasspoint.EventNumber, detail string) {
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -21,6 +21,7 @@
 	linkBytes    prometheus.Counter
 	storeCalls   *prometheus.CounterVec
 	exchanges    *prometheus.CounterVec
+	checks       prometheus.Counter
 }
 
 // Source is what the meter reads when it is asked.
@@ -52,7 +53,10 @@
 	})
 	m.storeCalls = counters("store_calls_total", "Calls of the platform's table service and object store, by call and result.", "call", "result")
 	m.exchanges = counters("exchange_messages_total", "Messages between nodes, by kind.", "kind")
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.hedges, m.measureBytes, m.linkBytes, m.storeCalls, m.exchanges)
+	m.checks = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "health_checks_total", Help: "Health checks sent to the backend server beside the node.",
+	})
+	m.registry.MustRegister(m.checks, m.requests, m.refusals, m.attempts, m.hedges, m.measureBytes, m.linkBytes, m.storeCalls, m.exchanges)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerSource(source)
 	return m
@@ -94,6 +98,9 @@
 // StoreCall counts a call of the platform.
 func (m *Meter) StoreCall(call, result string) { m.storeCalls.WithLabelValues(call, result).Inc() }
 
+// HealthCheck counts a health check of the backend server beside the node.
+func (m *Meter) HealthCheck() { m.checks.Inc() }
+
 // Exchange counts a message between nodes.
 func (m *Meter) Exchange(kind string) { m.exchanges.WithLabelValues(kind).Inc() }
 
--- a/transport/answerer/answerer.go
+++ b/transport/answerer/answerer.go
@@ -79,6 +79,7 @@
 	snapshot := a.Holder.Load()
 	meta.Service = label.Service
 	meta.Weight = label.Weight
+	meta.TargetLatency = label.Target
 	region := snapshot.Self.Region
 	if label.Revision > snapshot.Configuration.Revision {
 		// The entry node knows more than this one.
