Planned stops, reloads, a start beside a running backend server; log lines from a bounded queue

SIGHUP no longer ends the process; the settings file is read again then and when it changes without a signal. A node that starts beside a running backend server asks its health path. After an evacuation the backend server is asked whether it is cold before it gets work. Logs go to stdout through a queue that drops and counts. TestTruncatedAnswer is replaced by one as strict: a short answer that breaks off is now read whole before any of it goes out, so its caller gets 502 MayHaveRun in place of a broken connection; a long one still breaks off.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -18,8 +18,10 @@
 	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/platform"
 	"eelgrasspoint/runner"
+	"eelgrasspoint/state/emitter"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/memorizer"
+	"eelgrasspoint/state/reloader"
 	"eelgrasspoint/state/tablecaller"
 )
 
@@ -34,28 +36,39 @@
 		fmt.Printf("%s: correct\n", options.settings)
 		return
 	}
-	if err := run(settings); err != nil {
+	if err := run(options.settings, settings); err != nil {
 		fmt.Fprintln(os.Stderr, "eelgrassd:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(settings *loader.Settings) error {
+func run(path string, settings *loader.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	lines := emitter.New(os.Stdout)
+	defer lines.Close()
 	options := runner.Options{
 		Settings: settings,
 		Table:    ownPlatform(settings),
 		Dial:     (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
 		Listen:   net.Listen,
-		Log:      newLog(settings),
+		Log:      newLog(settings, lines),
 		Clock:    time.Now,
 		Seed:     uint64(time.Now().UnixNano()),
 	}
 	if settings.Contract == loader.ContractPlatform {
 		adapt(&options)
 	}
-	return runner.New(options).Run(ctx)
+	node := runner.New(options)
+	watch(ctx, path, settings, node)
+	return node.Run(ctx)
+}
+
+// watch puts changes of the settings file in force.
+func watch(ctx context.Context, path string, settings *loader.Settings, node *runner.Runner) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go reloader.New(path, settings).Run(ctx, signals, node.Reload, node.RejectSettings)
 }
 
 // keepAlive finds connections that have gone silent.
@@ -93,8 +106,9 @@
 	}
 }
 
-func newLog(settings *loader.Settings) logrus.FieldLogger {
+func newLog(settings *loader.Settings, lines *emitter.Emitter) logrus.FieldLogger {
 	log := logrus.New()
+	log.SetOutput(lines)
 	log.SetFormatter(&logrus.JSONFormatter{
 		TimestampFormat: time.RFC3339Nano,
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Detail"},
--- a/constants.go
+++ b/constants.go
@@ -44,7 +44,8 @@
 	MaxTimeLimit         = 10 * time.Minute
 	MinAttemptTime       = 2 * time.Millisecond
 	HedgeDelayFloor      = 10 * time.Millisecond
-	RefusalRetryAfter    = time.Second
+	RefusalRetryAfter    = 500 * time.Millisecond
+	BusyRetryAfter       = 100 * time.Millisecond
 	RelayBufferBytes     = 32 << 10
 	RetryShare           = 0.08
 	HedgeShare           = 0.05
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -192,6 +192,9 @@
 			c.record(eelgrasspoint.EventZoneOut, "", zone.Name, "")
 		case !zone.OutOfService && known && was:
 			c.record(eelgrasspoint.EventZoneIn, "", zone.Name, "")
+			if zone.Name == c.self.AvailabilityZone && c.options.ZoneBack != nil {
+				c.options.ZoneBack()
+			}
 		}
 	}
 }
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -54,6 +54,8 @@
 	SetCold func(time.Duration)
 	// AnnouncementTTL is how long an announcement holds.
 	AnnouncementTTL time.Duration
+	// ZoneBack is told when the node's availability zone is in service again; it is optional.
+	ZoneBack func()
 	// SetBudgets passes on the budgets of a new revision and the nodes of the region.
 	SetBudgets func(document *eelgrasspoint.Document, nodesInRegion int)
 }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -89,6 +89,7 @@
 	if old == nil || old.Incarnation != backend.Incarnation || old.Address != backend.Address {
 		e.options.Admitter.Reset(int(backend.Slots))
 		e.load = timedLoad{}
+		e.health.at = time.Time{}
 		e.replaceTransport(backend)
 		e.confirmCrash()
 	}
@@ -120,7 +121,7 @@
 	if err := e.check(&attempt.Meta); err != nil {
 		return nil, err
 	}
-	if !attempt.Meta.Insists && e.slowNow(ctx) {
+	if e.slowNow(ctx, attempt.Meta.Insists) {
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
 	}
 	admitted, err := e.options.Admitter.Admit(ctx, &attempt.Meta)
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -54,9 +55,9 @@
 
 // slowNow reports whether the backend server says that it is slow at this moment. It is asked
 // if what it said last is too old.
-func (e *Executor) slowNow(ctx context.Context) bool {
+func (e *Executor) slowNow(ctx context.Context, insists bool) bool {
 	path := e.healthPath()
-	if path == "" {
+	if path == "" || insists && !e.unknown() {
 		return false
 	}
 	if done := e.askIfOld(path); done != nil {
@@ -67,7 +68,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.load.load.Slowness >= eelgrasspoint.SlowFactor && e.options.Clock().Sub(e.load.at) <= maxLoadAge
+	return !insists && e.load.load.Slowness >= eelgrasspoint.SlowFactor && e.options.Clock().Sub(e.load.at) <= maxLoadAge
+}
+
+// unknown reports whether the backend server was not asked yet whether it is cold.
+func (e *Executor) unknown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.health.at.IsZero()
 }
 
 // askIfOld starts a health check, or joins the one under way, unless what is known is fresh.
@@ -133,9 +141,19 @@
 	if backend == nil {
 		return eelgrasspoint.Health{}, eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
 	}
+	return e.ask(ctx, transport, backend.Address, path)
+}
+
+// Ask sends a health check to an address where no backend server has announced itself yet.
+func (e *Executor) Ask(ctx context.Context, address netip.AddrPort, path string) (eelgrasspoint.Health, error) {
+	transport := &http.Transport{DialContext: e.options.Dial, DisableKeepAlives: true}
+	return e.ask(ctx, transport, address, path)
+}
+
+func (e *Executor) ask(ctx context.Context, transport *http.Transport, address netip.AddrPort, path string) (eelgrasspoint.Health, error) {
 	e.options.CountCheck()
 	request := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: backend.Address.String(), Path: path},
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Path: path},
 		Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	response, err := transport.RoundTrip(request.WithContext(ctx))
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -42,6 +42,8 @@
 	Clock        eelgrasspoint.Clock
 	Random       *rand.Rand
 	MaxBodyBytes int64
+	// Stopping reports whether callers are to open their next connection elsewhere.
+	Stopping func() bool
 	// CatchUp fetches from a candidate's node what was configured after a revision.
 	CatchUp  func(ctx context.Context, from *eelgrasspoint.Candidate, after uint64)
 	Contract eelgrasspoint.Contract
@@ -132,7 +134,7 @@
 	header := answer.Response.Header
 	labeler.Strip(header)
 	f.Contract.WriteAnswer(header, &p.meta)
-	p.closeUnlessRead(header)
+	p.closeIfDue(header)
 	defer func() { f.Meter.Request(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(began)) }()
 	f.relayer.Relay(w, answer.Response)
 }
@@ -141,7 +143,7 @@
 	f.Meter.Request(p.meta.Service, err.Outcome, f.Clock().Sub(began))
 	f.Meter.Refusal(p.meta.Service, err.Reason)
 	p.record(refusalEvent(err), err.Error())
-	p.closeUnlessRead(w.Header())
+	p.closeIfDue(w.Header())
 	refuser.Write(w, f.Contract, p.meta.RequestID, &eelgrasspoint.OutcomeError{
 		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err), RetryAfter: err.RetryAfter,
 	})
--- a/protocol/refuser/refuser.go
+++ b/protocol/refuser/refuser.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"eelgrasspoint"
 )
@@ -17,6 +18,16 @@
 	Detail    string `json:",omitempty"`
 }
 
+// retryAfter is when a request that was refused for the reason may find another answer.
+func retryAfter(reason eelgrasspoint.Reason) time.Duration {
+	switch reason {
+	case eelgrasspoint.Overloaded, eelgrasspoint.SlowServer, eelgrasspoint.RejectedByServer:
+		return eelgrasspoint.BusyRetryAfter
+	default:
+		return eelgrasspoint.RefusalRetryAfter
+	}
+}
+
 // Write answers with the outcome and the reason of the error.
 func Write(w http.ResponseWriter, contract eelgrasspoint.Contract, requestID string, err *eelgrasspoint.OutcomeError) {
 	body, _ := json.Marshal(Refusal{
@@ -34,7 +45,7 @@
 	if status == http.StatusServiceUnavailable {
 		pause := err.RetryAfter
 		if pause == 0 {
-			pause = eelgrasspoint.RefusalRetryAfter
+			pause = retryAfter(err.Reason)
 		}
 		header.Set("Retry-After", contract.RetryAfter(pause))
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,6 +68,8 @@
 	abortOnce   sync.Once
 	aborted     chan struct{}
 	stopping    atomic.Bool
+	// tunables are the settings last read; what may change while the node runs is taken from them.
+	tunables atomic.Pointer[loader.Settings]
 }
 
 // Options are what a node is given from outside, so that a test can give something else.
@@ -107,6 +109,7 @@
 		options.Contract = parser.New()
 	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
+	r.tunables.Store(r.settings)
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
@@ -148,7 +151,7 @@
 		},
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
-		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold,
+		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.Forget,
 	})
 	r.observer = observer.New(observer.Options{
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
@@ -168,7 +171,7 @@
 			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(r.retryLimits()), Link: r.link, Claimer: r.claimer, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
-			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom,
+			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom, Stopping: r.stopping.Load,
 		}),
 		attempts: answerer.New(answerer.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
@@ -204,6 +207,7 @@
 	go r.join(background)
 	if r.options.Source != nil {
 		go r.follow(background)
+		go r.greet(background)
 	} else {
 		go r.poll(background)
 	}
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -8,23 +8,35 @@
 	"eelgrasspoint/coordination/controller"
 )
 
-// stop says that the node leaves, lets the others learn it, finishes what is in flight and
-// closes.
+// stopReserve is kept of the time for a stop to close what is left.
+const stopReserve = 300 * time.Millisecond
+
+// stop says that the node leaves, goes on taking callers until they had the time to learn it,
+// finishes what is in flight and closes.
 func (r *Runner) stop() error {
+	r.stopping.Store(true)
 	r.record(eelgrasspoint.EventNodeStopping, "")
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout-stopReserve)
 	defer cancel()
 	left := make(chan struct{})
 	r.controller.Do(controller.Leave{Done: left})
 	<-left
-	r.observer.Flush(ctx)
-	go func() { _ = r.historian.DeleteMember(ctx, memberPrefix+r.settings.Name) }()
-	time.Sleep(eelgrasspoint.StopNoticeTime)
+	noticed := time.After(max(eelgrasspoint.StopNoticeTime, r.settings.DrainTimeout))
+	go r.observer.Flush(ctx)
+	go r.deleteRow(ctx)
+	<-noticed
 	err := r.servers.shutdown(ctx)
 	r.record(eelgrasspoint.EventNodeStopped, "")
 	return err
 }
 
+// deleteRow is best effort: the row of a node that is gone is removed by others later.
+func (r *Runner) deleteRow(ctx context.Context) {
+	if err := r.historian.DeleteMember(ctx, memberPrefix+r.settings.Name); err != nil {
+		r.storeDown(ctx, err)
+	}
+}
+
 // Abort ends the node at once, as if its process had been killed.
 func (r *Runner) Abort() {
 	r.abortOnce.Do(func() { close(r.aborted) })
--- a/standin/proof/ends_test.go
+++ b/standin/proof/ends_test.go
@@ -147,11 +147,20 @@
 	}
 }
 
-// TestTruncatedAnswer shows that a broken answer never looks whole.
+// TestTruncatedAnswer shows that a broken answer never looks whole: a long one breaks off for
+// the caller too, a short one is answered as what it is.
 func TestTruncatedAnswer(t *testing.T) {
-	withPair(t, backend.Behavior{TruncateAfter: 5000}, func(t *testing.T, p *pair) {
+	withPair(t, backend.Behavior{TruncateAfter: 2 * eelgrasspoint.MaxPrefetchBytes}, func(t *testing.T, p *pair) {
 		e := p.book("b", nil)
 		assert.Assert(t, e.broken, "%+v", e)
+		assert.Equal(t, p.exit.Backend.Runs()["b"], 1)
+	})
+	withPair(t, backend.Behavior{TruncateAfter: 5000}, func(t *testing.T, p *pair) {
+		e := p.book("b", nil)
+		assert.Equal(t, e.outcome, "MayHaveRun", "%+v", e)
+		assert.Equal(t, e.reason, "ConnectionLost")
+		assert.Equal(t, e.status, http.StatusBadGateway)
+		assert.Equal(t, p.exit.Backend.Runs()["b"], 1)
 	})
 }
 
