--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -117,7 +117,44 @@
 
 // Carry admits the attempt, runs it and returns the backend server's answer. The slot is
 // held until the answer's body is closed.
-func (e *Executor) Carry(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+func (e *Executor) Carry(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+	answer, err := e.carry(ctx, candidate, attempt)
+	if err != nil {
+		e.recordEnd(&attempt.Meta, eelgrasspoint.AsOutcome(err))
+	}
+	return answer, err
+}
+
+// recordEnd says why an attempt ended without an answer of the backend server.
+func (e *Executor) recordEnd(meta *eelgrasspoint.Meta, outcome *eelgrasspoint.OutcomeError) {
+	snapshot := e.options.Holder.Load()
+	if !meta.Permits(snapshot.Self.Region) {
+		return
+	}
+	number := eelgrasspoint.EventAttemptFailed
+	if outcome.Outcome == eelgrasspoint.NotRun {
+		number = eelgrasspoint.EventAttemptRefused
+	}
+	load := e.Load()
+	said, at := e.ServerLoad()
+	inputs := []eelgrasspoint.Input{
+		{Name: "Attempt", Value: meta.Attempt}, {Name: "Insists", Value: meta.Insists},
+		{Name: "InUse", Value: load.InUse}, {Name: "Limit", Value: load.Limit}, {Name: "Queued", Value: load.Queued},
+		{Name: "LeftMilliseconds", Value: eelgrasspoint.Remaining(meta.Deadline, e.options.Clock()).Milliseconds()},
+		{Name: "Revision", Value: snapshot.Configuration.Revision},
+	}
+	if !at.IsZero() {
+		inputs = append(inputs,
+			eelgrasspoint.Input{Name: "Slowness", Value: said.Slowness},
+			eelgrasspoint.Input{Name: "AgeMilliseconds", Value: e.options.Clock().Sub(at).Milliseconds()})
+	}
+	e.options.Recorder.Record(eelgrasspoint.Event{
+		Number: number, Service: meta.Service, RequestID: meta.RequestID, Permitted: meta.Permitted,
+		AvailabilityZone: snapshot.Self.AvailabilityZone, Detail: outcome.Error(), Inputs: inputs,
+	})
+}
+
+func (e *Executor) carry(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	if err := e.check(&attempt.Meta); err != nil {
 		return nil, err
 	}
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -169,3 +169,11 @@
 	_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
 	response.Body.Close()
 }
+
+// ServerLoad returns what the backend server last said of its work, and when; the time is zero
+// if it said nothing.
+func (e *Executor) ServerLoad() (eelgrasspoint.ServerLoad, time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.load, e.load.at
+}
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -136,13 +136,14 @@
 	f.Contract.WriteAnswer(header, &p.meta)
 	p.closeIfDue(header)
 	defer func() { f.Meter.Request(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(began)) }()
+	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", began, answer.Response.StatusCode)
 	f.relayer.Relay(w, answer.Response)
 }
 
 func (f *Forwarder) refuse(w http.ResponseWriter, p *passage, began time.Time, err *eelgrasspoint.OutcomeError) {
 	f.Meter.Request(p.meta.Service, err.Outcome, f.Clock().Sub(began))
 	f.Meter.Refusal(p.meta.Service, err.Reason)
-	p.record(refusalEvent(err), err.Error())
+	p.recordEnd(refusalEvent(err), err.Error(), began, eelgrasspoint.Status(err.Outcome, err.Reason))
 	p.closeIfDue(w.Header())
 	refuser.Write(w, f.Contract, p.meta.RequestID, &eelgrasspoint.OutcomeError{
 		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err), RetryAfter: err.RetryAfter,
--- a/event.go
+++ b/event.go
@@ -43,6 +43,8 @@
 	EventRequestAnswered
 	EventSettingsReloaded
 	EventReadinessChanged
+	EventAttemptRefused
+	EventAttemptFailed
 )
 
 // Event is one thing that happened on a node. The pair (Wall, Logical) is a hybrid logical clock.
@@ -55,10 +57,18 @@
 	AvailabilityZone string
 	RequestID        string
 	Detail           string
+	// Inputs are what decided, with their age or version.
+	Inputs []Input
 	// Permitted are the regions that the event may be stored in and sent to; none means all.
 	Permitted []string
 }
 
+// Input is one thing that a decision was made on.
+type Input struct {
+	Name  string
+	Value any
+}
+
 // Recorder keeps events for the time line and writes them to the log.
 type Recorder interface {
 	Record(event Event)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,6 +68,7 @@
 	abortOnce   sync.Once
 	aborted     chan struct{}
 	stopping    atomic.Bool
+	wasReady    atomic.Bool
 	// tunables are the settings last read; what may change while the node runs is taken from them.
 	tunables atomic.Pointer[loader.Settings]
 }
--- a/runner/source.go
+++ b/runner/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -83,5 +84,9 @@
 
 // ready reports whether the node takes callers.
 func (r *Runner) ready() bool {
-	return !r.stopping.Load() && r.revision() > 0
+	ready := !r.stopping.Load() && r.revision() > 0
+	if r.wasReady.Swap(ready) != ready {
+		r.record(eelgrasspoint.EventReadinessChanged, fmt.Sprintf("ready: %v, stopping: %v, revision %d", ready, r.stopping.Load(), r.revision()))
+	}
+	return ready
 }
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -34,6 +34,11 @@
 // Record stamps, keeps and logs the event.
 func (r *Recorder) Record(event eelgrasspoint.Event) {
 	event.Node = r.node
+	if event.Number == eelgrasspoint.EventRequestAnswered {
+		// One a request: the log has it, the time line is for what is out of the ordinary.
+		r.write(event)
+		return
+	}
 	r.keep(&event)
 	r.write(event)
 }
@@ -109,14 +114,15 @@
 			fields[name] = value
 		}
 	}
+	for _, input := range event.Inputs {
+		fields[input.Name] = input.Value
+	}
 	r.log.WithFields(fields).Log(level(event.Number), event.Detail)
 }
 
 // level returns the log level of an event; what happens to single requests is for debugging.
 func level(number eelgrasspoint.EventNumber) logrus.Level {
 	switch number {
-	case eelgrasspoint.EventRequestRefused, eelgrasspoint.EventRequestRetried, eelgrasspoint.EventRequestHedged:
-		return logrus.DebugLevel
 	case eelgrasspoint.EventBackendCrashed, eelgrasspoint.EventMemberFailed, eelgrasspoint.EventStoreDown,
 		eelgrasspoint.EventChangeUnknown, eelgrasspoint.EventRequestQuarantined, eelgrasspoint.EventIsolationSuspected,
 		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent:
