--- a/runner/runner.go
+++ b/runner/runner.go
@@ -259,7 +259,7 @@
 
 func (r *Runner) random() *rand.Rand { return eelgrasspoint.NewRandom(r.options.Seed) }
 
-func (r *Runner) load() eelgrasspoint.Load { return r.admitter.Load() }
+func (r *Runner) load() eelgrasspoint.Load { return r.executor.Load() }
 
 func (r *Runner) revision() uint64 { return r.holder.Load().Configuration.Revision }
 
