--- a/constants.go
+++ b/constants.go
@@ -76,6 +76,8 @@
 	MinFailures        = 2
 	FailureShare       = 10
 	MaxQueueShare      = 2
+	// FastShare is the part of its slots that a backend server works in at full speed.
+	FastShare          = 0.8
 	MaxQueueWait       = 120 * time.Millisecond
 	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
@@ -127,7 +129,7 @@
 // Load hints and the cost of measuring.
 const (
 	HintHalfLife            = 200 * time.Millisecond
-	SlowFactor              = 2.0
+	SlowFactor              = 2.5
 	SlowHintTime            = 60 * time.Millisecond
 	LatencySmoothing        = 0.2
 	ErrorHalfLife           = 2 * time.Second
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -42,9 +42,6 @@
 	return a
 }
 
-// fastShare is the part of its slots that a backend server works in at full speed.
-const fastShare = 0.8
-
 // Admit returns when the request may run, and that moment, which goes into the sample of the
 // one Release that must follow. The error is an *eelgrasspoint.OutcomeError with outcome NotRun.
 func (a *Admitter) Admit(ctx context.Context, meta *eelgrasspoint.Meta) (time.Time, error) {
@@ -160,7 +157,7 @@
 func (a *Admitter) limitFor(meta *eelgrasspoint.Meta) int {
 	limit := a.limiter.Limit()
 	if a.tellsLoad && !meta.Insists {
-		return max(1, int(fastShare*float64(limit)))
+		return max(1, int(eelgrasspoint.FastShare*float64(limit)))
 	}
 	return limit
 }
--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -150,7 +150,7 @@
 	if at.IsZero() || now.Sub(at) > eelgrasspoint.HintHalfLife {
 		return c.Gauge.InFlight() < int64(max(c.Slots, 1))*2
 	}
-	return load.InUse+load.Queued < load.Limit
+	return float64(load.InUse+load.Queued) < eelgrasspoint.FastShare*float64(load.Limit)
 }
 
 // expected estimates how long the request would take at the candidate.
@@ -159,7 +159,17 @@
 	base := max(c.Gauge.Latency(now, usual), 2*c.Gauge.Age(now), hinted(c, now, usual)) + distance(c, need)
 	used := utilization(c, now)
 	errors := c.Gauge.ErrorShare(now)
-	return float64(base+time.Millisecond) * (1 + used*used) * (1 + eelgrasspoint.ErrorPenalty*errors)
+	return float64(base+time.Millisecond) * slowness(c, now) * (1 + used*used) * (1 + eelgrasspoint.ErrorPenalty*errors)
+}
+
+// slowness is how many times as long as usual work takes there; the hint fades.
+func slowness(c *eelgrasspoint.Candidate, now time.Time) float64 {
+	load, at := c.Gauge.Load()
+	if load.Slowness <= 1 {
+		return 1
+	}
+	kept := math.Exp2(-float64(now.Sub(at)) / float64(eelgrasspoint.HintHalfLife))
+	return 1 + kept*(load.Slowness-1)
 }
 
 // hinted is the exit node's own word on how long a run takes; it fades like what was observed.
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -32,6 +32,8 @@
 type Limits struct {
 	// Shares are the extra attempts earned by each first attempt, by purpose.
 	Shares [purposes]float64
+	// Unbounded purposes need no budget.
+	Unbounded [purposes]bool
 	// Burst returns how many earned attempts are kept, for each purpose.
 	Burst func() float64
 }
@@ -59,8 +61,9 @@
 // beside it. Redirects are not bounded, since they follow attempts that reached no backend server.
 func SharedLimits(share float64, slack int, nodes func() int) Limits {
 	return Limits{
-		Shares: [purposes]float64{Retry: retryPart * share, Hedge: hedgePart * share, Redirect: 1},
-		Burst:  func() float64 { return retryPart * float64(slack) / float64(max(1, nodes())) },
+		Shares:    [purposes]float64{Retry: retryPart * share, Hedge: hedgePart * share},
+		Unbounded: [purposes]bool{Redirect: true},
+		Burst:     func() float64 { return retryPart * float64(slack) / float64(max(1, nodes())) },
 	}
 }
 
@@ -96,6 +99,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tokens := r.of(service)
+	if r.limits.Unbounded[purpose] {
+		return true
+	}
 	if tokens[purpose] < 1 {
 		return false
 	}
@@ -107,7 +113,7 @@
 func (r *Retrier) Has(service string, purpose Purpose) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.of(service)[purpose] >= 1
+	return r.limits.Unbounded[purpose] || r.of(service)[purpose] >= 1
 }
 
 // of returns the tokens of a service, full when first asked for.
