--- a/constants.go
+++ b/constants.go
@@ -89,8 +89,8 @@
 
 // Connections between nodes.
 const (
-	PeerPingAfter     = 700 * time.Millisecond
-	PeerPingTimeout   = 700 * time.Millisecond
+	PeerPingAfter     = 300 * time.Millisecond
+	PeerPingTimeout   = 300 * time.Millisecond
 	ControlIdleTime   = 5 * time.Second
 	PeerIdleTime      = 90 * time.Second
 	PeerHeaderTimeout = 10 * time.Second
--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -32,20 +32,25 @@
 		case r := <-ended:
 			running = slices.DeleteFunc(running, func(other *rival) bool { return other == r })
 			if r.err == nil || len(running) == 0 {
+				// Those that are cancelled may have reached their backend servers.
+				p.arrivals.Add(int32(len(running)))
 				cancelAll(running, ended)
 				return keep(r)
 			}
 			r.cancel()
 		case <-timer.C:
-			if second := p.second(); second != nil {
+			if second := p.second(len(running)); second != nil {
 				running = append(running, p.launch(ctx, second, ended))
 			}
 		}
 	}
 }
 
-// second returns another candidate if the budget allows one.
-func (p *passage) second() *eelgrasspoint.Candidate {
+// second returns another candidate if the route and the budget allow one beside those running.
+func (p *passage) second(running int) *eelgrasspoint.Candidate {
+	if most := int(p.matched.MaxAttempts); most > 0 && int(p.arrivals.Load())+running >= most {
+		return nil
+	}
 	candidate := p.choose()
 	if candidate == nil || !p.forwarder.Retrier.Spend(p.meta.Service, retrier.Hedge) {
 		return nil
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -193,9 +193,6 @@
 	if last != nil {
 		return last
 	}
-	if !p.meta.Permits(p.self.Region) {
-		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
-	}
 	return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
 }
 
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -293,17 +293,19 @@
 	}
 }
 
-// Sync repairs the difference between this node's view of the members and another's.
-func (o *Observer) Sync(ctx context.Context, m eelgrasspoint.Member) {
+// Sync repairs the difference between this node's view of the members and another's. It reports
+// whether the other answered.
+func (o *Observer) Sync(ctx context.Context, m eelgrasspoint.Member) bool {
 	o.options.Meter.Exchange("Members")
 	own := o.options.Controller.View().Members
 	response, err := o.client(m).Members(ctx, &schema.MembersRequest{Digests: arranger.Buckets(own)})
 	if err != nil {
-		return
+		return false
 	}
 	members, _ := translator.Members(response.GetMembers())
 	o.options.Controller.Do(controller.Learn{Members: members})
 	o.options.Controller.Do(controller.Respread{Names: newerThan(arranger.Within(own, response.GetBuckets()), members)})
+	return true
 }
 
 // newerThan names the members of own that the others lack or have in an older version.
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -27,12 +27,18 @@
 		r.askPeers(ctx)
 		written := r.writeRow(ctx) == nil
 		scanned := r.scanMembers(ctx)
-		r.catchUp(ctx)
+		if r.options.Source == nil {
+			r.catchUp(ctx)
+		}
+		if scanned {
+			r.askMembers(ctx)
+		}
 		if written && scanned {
 			break
 		}
 		r.sleep(ctx, joinRetry)
 	}
+	r.joined.Store(true)
 	r.sleep(ctx, eelgrasspoint.ScanInterval)
 	r.scanMembers(ctx)
 	r.keepRow(ctx)
@@ -52,6 +58,31 @@
 	}
 }
 
+// membersAsked is how many members a node that joins asks for all that they know.
+const membersAsked = 2
+
+// askMembers syncs with a few members: the rows may be old, and news of what happened before
+// does not come again.
+func (r *Runner) askMembers(ctx context.Context) {
+	r.settle()
+	view := r.controller.View()
+	asked := 0
+	for _, i := range rand.Perm(len(view.Members)) {
+		m := view.Members[i]
+		if asked == membersAsked || ctx.Err() != nil {
+			return
+		}
+		if m.Name == r.settings.Name || !m.Alive() || m.Region != view.Self.Region {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
+		if r.observer.Sync(ctx, m) {
+			asked++
+		}
+		cancel()
+	}
+}
+
 // scanMembers learns the rows that other nodes wrote. A row that does not parse is left out.
 func (r *Runner) scanMembers(ctx context.Context) bool {
 	rows, err := r.historian.Members(ctx, memberPrefix)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -69,6 +69,8 @@
 	aborted     chan struct{}
 	stopping    atomic.Bool
 	wasReady    atomic.Bool
+	// joined is set once the node knows the others, as far as there is anybody to ask.
+	joined atomic.Bool
 	// tunables are the settings last read; what may change while the node runs is taken from them.
 	tunables atomic.Pointer[loader.Settings]
 }
--- /dev/null
+++ b/standin/proof/attempts_test.go
@@ -0,0 +1,89 @@
+package proof
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/standin/backend"
+	"eelgrasspoint/standin/platform"
+	"eelgrasspoint/standin/stage"
+)
+
+// runsOf counts the runs of a request on all backend servers.
+func runsOf(s *stage.Stage, id string) int {
+	runs := 0
+	for _, n := range s.Nodes {
+		runs += n.Backend.Runs()[id]
+	}
+	return runs
+}
+
+// TestHedgeWithinAttempts shows that a hedge counts as one of the attempts that a route allows.
+func TestHedgeWithinAttempts(t *testing.T) {
+	cases := []struct {
+		name  string
+		most  uint32
+		runs  int
+		hedge bool
+	}{
+		{"one attempt", 1, 1, true},
+		{"two attempts", 2, 2, true},
+		{"no hedges", 2, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := stage.New(stage.Options{Shape: quickNetwork, StoreRegion: "almaty"})
+				defer s.Close()
+				slow := backend.Behavior{ServiceTime: 500 * time.Millisecond}
+				p := &pair{Stage: s}
+				p.entry = s.Add("almaty", "almaty-a", "vitrine", 4, slow)
+				p.exit = s.Add("almaty", "almaty-b", "vitrine", 4, slow)
+				time.Sleep(3 * time.Second)
+				document := stage.Workshop()
+				for i := range document.Routes {
+					if document.Routes[i].Name == "catalogue" {
+						document.Routes[i].Hedge = c.hedge
+						document.Routes[i].MaxAttempts = c.most
+					}
+				}
+				s.Apply(t.Context(), p.entry, document)
+				time.Sleep(time.Second)
+				p.client = s.Client()
+				defer p.client.CloseIdleConnections()
+				e := p.send(p.entry, http.MethodGet, "/catalogue/1", "b", nil)
+				assert.Equal(t, e.status, http.StatusOK)
+				time.Sleep(time.Second)
+				assert.Equal(t, runsOf(s, "b"), c.runs)
+			})
+		})
+	}
+}
+
+// TestStartsKnowingTheServers shows that a node which starts again serves through the others as
+// soon as it has a configuration, though what they announced is no longer news.
+func TestStartsKnowingTheServers(t *testing.T) {
+	withCrew(t, 8, platform.Faults{}, func(t *testing.T, s *stage.Stage) {
+		s.Apply(t.Context(), s.Nodes[0], stage.Workshop())
+		time.Sleep(20 * time.Second)
+		n := s.Nodes[3]
+		n.KillBackend()
+		n.KillNode()
+		time.Sleep(time.Second)
+		n.StartNode()
+		p := &pair{Stage: s, client: s.Client()}
+		defer p.client.CloseIdleConnections()
+		var e end
+		took := until(5*time.Second, func() bool {
+			e = p.send(n, http.MethodGet, "/catalogue/1", "b", nil)
+			return e.status == http.StatusOK
+		})
+		assert.Assert(t, took < time.Second, "served after %v: %+v", took, e)
+		assert.Equal(t, e.outcome, eelgrasspoint.Answered.String())
+	})
+}
