--- a/cmd/eelgrassctl/options.go
+++ b/cmd/eelgrassctl/options.go
@@ -57,6 +57,7 @@
 	needsNode   bool
 	needsFile   bool
 	needsName   bool
+	needsObject bool
 }
 
 var shells = []string{"bash", "zsh", "fish"}
@@ -74,6 +75,7 @@
 	{name: "rollout", description: "prints the revision in force at every node", needsNode: true},
 	{name: "timeline", description: "prints the events of all nodes in order", needsNode: true},
 	{name: "drain", description: "stops new work for the backend server beside the node", needsNode: true},
+	{name: "explain", description: "says what became of a request, from collected logs: explain REQUEST-ID", needsObject: true},
 	{name: "console", description: "serves a page with the live state and the time line", needsNode: true},
 	{name: "completion", description: "prints the completion script of a shell: completion bash|zsh|fish", objects: shells},
 }
@@ -123,6 +125,10 @@
 	if len(v.objects) > 0 {
 		s.AddPositionalValue(&o.object, "OBJECT", 1, false, strings.Join(v.objects, ", "))
 	}
+	if v.needsObject {
+		s.AddPositionalValue(&o.object, "REQUEST-ID", 1, false, "the identifier of the request")
+		s.String(&o.file, "f", "file", "the collected log lines; the default is the standard input")
+	}
 	if v.needsName {
 		s.AddPositionalValue(&o.name, "NAME", 2, false, "the name of what is changed")
 	}
@@ -169,6 +175,9 @@
 	if len(v.objects) > 0 && !slices.Contains(v.objects, o.object) {
 		return fmt.Sprintf("%s: %q is none of %s%s", v.name, o.object, strings.Join(v.objects, ", "), didYouMean(o.object, v.objects))
 	}
+	if v.needsObject && o.object == "" {
+		return v.name + ": a REQUEST-ID is required"
+	}
 	if v.needsName && o.name == "" {
 		return fmt.Sprintf("%s %s: a NAME is required", v.name, o.object)
 	}
--- a/cmd/eelgrassctl/session.go
+++ b/cmd/eelgrassctl/session.go
@@ -45,7 +45,7 @@
 	actions := map[string]func(context.Context) int{
 		"apply": s.apply, "remove": s.remove, "get": s.get, "diff": s.diff, "validate": s.validate,
 		"zone": s.zone, "status": s.status, "rollout": s.rollout, "timeline": s.timeline,
-		"drain": s.drain, "console": s.console,
+		"drain": s.drain, "console": s.console, "explain": s.explain,
 	}
 	return actions[s.options.verb](context.Background())
 }
