A node without a configuration runs nothing, and gets one from the others while the store is down

It stayed without a configuration since it knew nobody to fetch it from: a node whose message meets an older revision sends itself along, and the one behind fetches from it. TestStartsWhileTheStoreIsDown was red before.

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -49,7 +49,7 @@
 	e.learn(request)
 	view := e.options.Controller.View()
 	if request.GetRevision() > view.Revision+uint64(len(request.GetChanges())) {
-		e.pullFrom(view, request.GetFrom())
+		e.pullFrom(view, request)
 	}
 	return &schema.ConverseResponse{
 		From:     view.Self.Name,
@@ -74,9 +74,11 @@
 	}
 }
 
-func (e *Exchanger) pullFrom(view *eelgrasspoint.View, name string) {
-	for _, m := range view.Members {
-		if m.Name == name {
+// pullFrom fetches from the sender, which may be known only by the message itself.
+func (e *Exchanger) pullFrom(view *eelgrasspoint.View, request *schema.ConverseRequest) {
+	news, _ := translator.Members(request.GetNews())
+	for _, m := range append(news, view.Members...) {
+		if m.Name == request.GetFrom() {
 			go e.options.Pull(m, view.Revision)
 			return
 		}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -45,7 +45,7 @@
 	r := p.request
 	p.matched = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
 	if p.matched == nil && p.snapshot.Configuration.Revision == 0 {
-		return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "no configuration yet")
+		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "no configuration yet")
 	}
 	if p.matched == nil {
 		return eelgrasspoint.Refuse(eelgrasspoint.NoRoute, "")
@@ -412,7 +412,9 @@
 	now := p.forwarder.Clock()
 	inputs := []eelgrasspoint.Input{
 		{Name: "Status", Value: status}, {Name: "TookMilliseconds", Value: now.Sub(began).Milliseconds()},
-		{Name: "LeftMilliseconds", Value: p.meta.Deadline.Sub(now).Milliseconds()},
+	}
+	if !p.meta.Deadline.IsZero() {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "LeftMilliseconds", Value: p.meta.Deadline.Sub(now).Milliseconds()})
 	}
 	if len(p.tried) > 0 {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "ExitNode", Value: p.tried[len(p.tried)-1].Node})
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -48,7 +48,9 @@
 	failures   int
 	mismatches int
 	revision   uint64
-	syncedAt   time.Time
+	// behind is set while the member has an older configuration: it may not know this node.
+	behind   bool
+	syncedAt time.Time
 }
 
 // Bounds of the repair of differing views.
@@ -237,17 +239,25 @@
 	if response.GetRevision() > view.Revision {
 		o.Pull(ctx, m, view.Revision)
 	}
+	if o.setBehind(m.Name, response.GetRevision() < view.Revision) {
+		// It can fetch what it lacks only from a node that it knows.
+		_, err = client.Converse(ctx, o.message(view, m.Name))
+	}
 	o.compareDigest(ctx, view, m, response)
-	return nil
+	return err
 }
 
 func (o *Observer) message(view *eelgrasspoint.View, to string) *schema.ConverseRequest {
+	news := view.NewsAt(o.options.Now())
+	if o.isBehind(to) {
+		news = append([]eelgrasspoint.Member{view.Self}, news...)
+	}
 	return &schema.ConverseRequest{
 		Cluster:  o.options.Cluster,
 		From:     view.Self.Name,
 		Revision: view.Revision,
 		Digest:   view.Digest,
-		News:     translator.MemberMessages(view.NewsAt(o.options.Now())),
+		News:     translator.MemberMessages(news),
 		Wall:     uint64(o.options.Now().UnixNano()),
 		Changes:  translator.ChangeMessages(lacking(view.Recent, o.revision(to))),
 	}
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -59,3 +59,19 @@
 	p.syncedAt = now
 	return true
 }
+
+// setBehind notes whether a member has an older configuration, and reports whether that is new.
+func (o *Observer) setBehind(name string, behind bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.peer(name)
+	was := p.behind
+	p.behind = behind
+	return behind && !was
+}
+
+func (o *Observer) isBehind(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peer(name).behind
+}
--- a/outcome.go
+++ b/outcome.go
@@ -104,7 +104,7 @@
 // reached its backend server.
 func (r Reason) ByExitNode() bool {
 	switch r {
-	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute:
+	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady:
 		return true
 	default:
 		return false
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -17,7 +17,7 @@
 const memberPrefix = "member/"
 
 // joinRetry bounds the pause between two tries to find other nodes.
-const joinRetry = 5 * time.Second
+const joinRetry = time.Second
 
 // join looks for other nodes at the addresses in the settings and in the table service, in
 // any combination that happens to be up, until its row is written and the others' are read.
@@ -26,14 +26,12 @@
 	for ctx.Err() == nil {
 		r.askPeers(ctx)
 		written := r.writeRow(ctx) == nil
-		scanned := r.scanMembers(ctx)
+		scanned := written && r.scanMembers(ctx)
 		if r.options.Source == nil {
 			r.catchUp(ctx)
 		}
+		r.askMembers(ctx)
 		if scanned {
-			r.askMembers(ctx)
-		}
-		if written && scanned {
 			break
 		}
 		r.sleep(ctx, joinRetry)
--- a/transport/answerer/answerer.go
+++ b/transport/answerer/answerer.go
@@ -80,6 +80,10 @@
 	meta.Service = label.Service
 	meta.Weight = label.Weight
 	meta.TargetLatency = label.Target
+	if snapshot.Configuration.Revision == 0 {
+		// Neither the zones that are out nor what a cold backend server bears is known.
+		return meta, eelgrasspoint.Refuse(eelgrasspoint.NotReady, "no configuration yet")
+	}
 	region := snapshot.Self.Region
 	if label.Revision > snapshot.Configuration.Revision {
 		// The entry node knows more than this one.
