--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -51,11 +51,16 @@
 	if request.GetRevision() > view.Revision+uint64(len(request.GetChanges())) {
 		e.pullFrom(view, request)
 	}
+	news := view.NewsAt(e.options.Now())
+	if request.GetDigest() != view.Digest {
+		// The sender may hold this node to have failed.
+		news = append([]eelgrasspoint.Member{view.Self}, news...)
+	}
 	return &schema.ConverseResponse{
 		From:     view.Self.Name,
 		Revision: view.Revision,
 		Digest:   view.Digest,
-		News:     translator.MemberMessages(view.NewsAt(e.options.Now())),
+		News:     translator.MemberMessages(news),
 		Load:     translator.LoadMessage(e.options.Load()),
 		Wall:     uint64(e.options.Now().UnixNano()),
 	}, nil
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -105,6 +106,7 @@
 // round sends one heartbeat to each observed member and judges who failed.
 func (o *Observer) round(ctx context.Context) {
 	view := o.options.Controller.View()
+	o.retryFailed(ctx, view)
 	paused := o.noticePause()
 	var group sync.WaitGroup
 	answers := make([]bool, len(view.Observed))
@@ -124,6 +126,32 @@
 	o.judge(ctx, view, answers)
 }
 
+// failedRetries is how many failed members all nodes together try in one round.
+const failedRetries = 8
+
+// retryFailed sends a message to a member that failed, now and then: one that starts again while
+// the store is down knows nobody, and nobody observes it.
+func (o *Observer) retryFailed(ctx context.Context, view *eelgrasspoint.View) {
+	var failed []eelgrasspoint.Member
+	alive := 0
+	for _, m := range view.Members {
+		switch {
+		case m.Alive():
+			alive++
+		case !m.Left:
+			failed = append(failed, m)
+		}
+	}
+	share := float64(failedRetries) / float64(max(1, alive))
+	for _, i := range rand.Perm(len(failed)) {
+		if share <= 0 || rand.Float64() >= share {
+			return
+		}
+		share--
+		go func() { _ = o.converse(ctx, view, failed[i]) }()
+	}
+}
+
 // refresh notes that the control state is of this moment. After a pause it is so only when a
 // peer was heard and what it said is in force, or when nobody answers for some rounds.
 func (o *Observer) refresh(paused, heard bool) {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -8,15 +8,15 @@
 	"eelgrasspoint/coordination/controller"
 )
 
-// stopReserve is kept of the time for a stop to close what is left.
-const stopReserve = 300 * time.Millisecond
+// stopReserve is the part of the time for a stop that is kept to close what is left.
+const stopReserve = 6
 
 // stop says that the node leaves, goes on taking callers until they had the time to learn it,
 // finishes what is in flight and closes.
 func (r *Runner) stop() error {
 	r.stopping.Store(true)
 	r.record(eelgrasspoint.EventNodeStopping, "")
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout-stopReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout-r.settings.StopTimeout/stopReserve)
 	defer cancel()
 	left := make(chan struct{})
 	r.controller.Do(controller.Leave{Done: left})
