--- a/constants.go
+++ b/constants.go
@@ -84,13 +84,13 @@
 	CrashSettleTime    = 2 * time.Second
 	MaxSuspectRequests = 4096
 	ConnectTimeout     = time.Second
-	BackendIdleTime    = time.Second
+	BackendIdleTime    = 250 * time.Millisecond
 )
 
 // Connections between nodes.
 const (
-	PeerPingAfter     = 300 * time.Millisecond
-	PeerPingTimeout   = 300 * time.Millisecond
+	PeerPingAfter     = 700 * time.Millisecond
+	PeerPingTimeout   = 1000 * time.Millisecond
 	ControlIdleTime   = 5 * time.Second
 	PeerIdleTime      = 90 * time.Second
 	PeerHeaderTimeout = 10 * time.Second
--- a/contract.go
+++ b/contract.go
@@ -11,7 +11,6 @@
 	Client    string
 	Timeout   time.Duration
 	Depth     int
-	Key       string
 }
 
 // ServerLoad is what a backend server says of its own work.
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"eelgrasspoint"
-	"eelgrasspoint/coordination/claimer"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/labeler"
 	"eelgrasspoint/protocol/refuser"
@@ -34,7 +33,6 @@
 	Chooser      eelgrasspoint.Chooser
 	Retrier      *retrier.Retrier
 	Link         *budgeter.Budgeter
-	Claimer      *claimer.Claimer
 	Peers        eelgrasspoint.Carrier
 	Local        eelgrasspoint.Carrier
 	Meter        *meter.Meter
@@ -70,7 +68,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.meta.Deadline)
 	defer cancel()
-	answer, failure := p.runOnce(ctx)
+	answer, failure := p.runAttempts(ctx)
 	if failure != nil {
 		f.refuse(w, p, began, failure)
 		return
@@ -85,7 +83,7 @@
 		forwarder: f,
 		snapshot:  f.Holder.Load(),
 		request:   r,
-		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Key: call.Key, Caller: f.Service},
+		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Caller: f.Service},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
 	}
 	p.self = p.snapshot.Self
@@ -106,6 +104,9 @@
 	return p, nil
 }
 
+// idempotencyKey tells sendings of one caller apart that are else alike.
+func (p *passage) idempotencyKey() string { return p.request.Header.Get("Idempotency-Key") }
+
 func timeLimit(route *eelgrasspoint.Route, asked time.Duration) time.Duration {
 	limit := route.TimeLimit
 	if limit == 0 {
@@ -121,7 +122,7 @@
 func fingerprint(p *passage) uint64 {
 	d := xxhash.New()
 	r := p.request
-	for _, part := range []string{r.Method, r.Host, r.RequestURI, p.meta.Client, p.meta.Key} {
+	for _, part := range []string{r.Method, r.Host, r.RequestURI, p.meta.Client, p.idempotencyKey()} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -63,22 +63,6 @@
 	return nil
 }
 
-// runOnce runs a request with an idempotency key under a claim of the key.
-func (p *passage) runOnce(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
-	if p.meta.Key == "" || p.meta.Idempotent {
-		return p.runAttempts(ctx)
-	}
-	claim, refusal := p.forwarder.Claimer.Claim(ctx, &p.meta)
-	if refusal != nil {
-		return nil, refusal
-	}
-	answer, failure := p.runAttempts(ctx)
-	if failure != nil && failure.Outcome == eelgrasspoint.NotRun {
-		claim.Release(ctx)
-	}
-	return answer, failure
-}
-
 // runAttempts says "not run" only if no attempt may have run.
 func (p *passage) runAttempts(ctx context.Context) (*eelgrasspoint.Answer, *eelgrasspoint.OutcomeError) {
 	answer, failure := p.run(ctx)
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -319,7 +319,7 @@
 // compareDigest repairs views that stay different after the news is out.
 func (o *Observer) compareDigest(ctx context.Context, view *eelgrasspoint.View, m eelgrasspoint.Member, response *schema.ConverseResponse) {
 	many := max(len(view.News), len(response.GetNews())) >= eelgrasspoint.MaxNewsPerMessage
-	quiet := len(view.News) == 0 && len(response.GetNews()) == 0
+	quiet := len(view.News) == 0 && onlySelf(response)
 	switch {
 	case response.GetDigest() == view.Digest:
 		o.setMismatches(m.Name, 0)
@@ -331,6 +331,17 @@
 	}
 }
 
+// onlySelf reports whether an answer has no news but the sender's own entry, which it adds while
+// the views differ.
+func onlySelf(response *schema.ConverseResponse) bool {
+	for _, m := range response.GetNews() {
+		if m.GetName() != response.GetFrom() {
+			return false
+		}
+	}
+	return true
+}
+
 // Sync repairs the difference between this node's view of the members and another's. It reports
 // whether the other answered.
 func (o *Observer) Sync(ctx context.Context, m eelgrasspoint.Member) bool {
--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -33,6 +33,8 @@
 	Load       func() eelgrasspoint.Load
 	Events     func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	Clock      eelgrasspoint.Clock
+	// Published is set if the configuration is published by the platform, and not changed here.
+	Published bool
 }
 
 var _ schema.Operators = (*Operator)(nil)
@@ -46,6 +48,12 @@
 // Apply commits one change.
 func (o *Operator) Apply(ctx context.Context, request *schema.ApplyRequest) (*schema.ApplyResponse, error) {
 	id := cmp.Or(request.GetChangeId(), uuid.NewString())
+	if o.options.Published {
+		return &schema.ApplyResponse{
+			ChangeId: id, Result: schema.ApplyResult_APPLY_RESULT_UNAVAILABLE,
+			Detail: "the configuration is published by the platform and is changed there",
+		}, nil
+	}
 	revision, err := o.options.Committer.Commit(ctx, committer.Proposal{
 		Change: eelgrasspoint.Change{
 			ChangeID: id, Put: translator.Document(request.GetPut()), Remove: translator.Removal(request.GetRemove()),
--- a/event.go
+++ b/event.go
@@ -45,6 +45,7 @@
 	EventReadinessChanged
 	EventAttemptRefused
 	EventAttemptFailed
+	EventRowKept
 )
 
 // Event is one thing that happened on a node. The pair (Wall, Logical) is a hybrid logical clock.
--- a/outcome.go
+++ b/outcome.go
@@ -40,8 +40,6 @@
 	ConnectionLost
 	TimedOut
 	Canceled
-	KeyInDoubt
-	KeyAlreadyUsed
 	LinkBudget
 	StaleRoute
 	StaleNode
@@ -93,7 +91,7 @@
 func (r Reason) Final() bool {
 	switch r {
 	case NoRoute, WrongRegion, BadHeader, HeaderTooLarge, BodyTooLarge, BodyCutShort,
-		TooDeep, Quarantined, DeadlinePassed, Canceled, KeyInDoubt, KeyAlreadyUsed:
+		TooDeep, Quarantined, DeadlinePassed, Canceled:
 		return true
 	default:
 		return false
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -46,22 +46,20 @@
 	_ = x[ConnectionLost-15]
 	_ = x[TimedOut-16]
 	_ = x[Canceled-17]
-	_ = x[KeyInDoubt-18]
-	_ = x[KeyAlreadyUsed-19]
-	_ = x[LinkBudget-20]
-	_ = x[StaleRoute-21]
-	_ = x[StaleNode-22]
-	_ = x[SlowServer-23]
-	_ = x[OtherServer-24]
-	_ = x[BadAnswer-25]
-	_ = x[ColdServer-26]
-	_ = x[NotReady-27]
-	_ = x[RejectedByServer-28]
+	_ = x[LinkBudget-18]
+	_ = x[StaleRoute-19]
+	_ = x[StaleNode-20]
+	_ = x[SlowServer-21]
+	_ = x[OtherServer-22]
+	_ = x[BadAnswer-23]
+	_ = x[ColdServer-24]
+	_ = x[NotReady-25]
+	_ = x[RejectedByServer-26]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledKeyInDoubtKeyAlreadyUsedLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServer"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServer"
 
-var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 218, 228, 238, 247, 257, 268, 277, 287, 295, 311}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/protocol/parser/parser.go
+++ b/protocol/parser/parser.go
@@ -14,7 +14,7 @@
 
 // Parse reads the headers of a request. The call always has a request identifier.
 func Parse(r *http.Request) (eelgrasspoint.Call, *eelgrasspoint.OutcomeError) {
-	call := eelgrasspoint.Call{Client: r.Header.Get(eelgrasspoint.HeaderClient), Key: idempotencyKey(r.Header)}
+	call := eelgrasspoint.Call{Client: r.Header.Get(eelgrasspoint.HeaderClient)}
 	var err *eelgrasspoint.OutcomeError
 	if call.RequestID, err = requestID(r.Header); err != nil {
 		return call, err
@@ -74,13 +74,6 @@
 	return n + 1, nil
 }
 
-func idempotencyKey(header http.Header) string {
-	if key := header.Get("Idempotency-Key"); key != "" {
-		return key
-	}
-	return header.Get("X-Idempotency-Key")
-}
-
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI)
 	for name, values := range r.Header {
--- a/request.go
+++ b/request.go
@@ -21,7 +21,6 @@
 	Depth       int
 	Deadline    time.Time
 	Permitted   []string
-	Key         string
 	Fingerprint uint64
 	Attempt     int
 	// Insists tells an exit node not to refuse only because its backend server is slow.
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -131,15 +132,32 @@
 	}
 }
 
-// sweep deletes claims that are over. One node of all does it at a time, as a rule; more do
-// no harm.
+// sweep deletes the rows of nodes that are gone. The first node of all does it, as a rule; more
+// do no harm, since a row that was written since stays.
 func (r *Runner) sweep(ctx context.Context) {
-	for _, m := range r.controller.View().Members {
-		if m.Alive() {
-			if m.Name == r.settings.Name {
-				_ = r.claimer.Sweep(ctx)
-			}
-			return
+	members := r.controller.View().Members
+	gone := make(map[string]bool, len(members))
+	first := ""
+	for _, m := range members {
+		gone[m.Name] = !m.Alive()
+		if m.Alive() && first == "" {
+			first = m.Name
+		}
+	}
+	if first != r.settings.Name {
+		return
+	}
+	rows, err := r.historian.Members(ctx, memberPrefix)
+	if err != nil {
+		r.storeDown(ctx, err)
+		return
+	}
+	for _, row := range rows {
+		if !gone[strings.TrimPrefix(row.Key, memberPrefix)] {
+			continue
+		}
+		if err := r.historian.DeleteRow(ctx, row); err != nil {
+			r.record(eelgrasspoint.EventRowKept, row.Key+": "+err.Error())
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -16,7 +16,6 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/admitter"
 	"eelgrasspoint/coordination/chooser"
-	"eelgrasspoint/coordination/claimer"
 	"eelgrasspoint/coordination/committer"
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/exchanger"
@@ -56,7 +55,6 @@
 	controller *controller.Controller
 	observer   *observer.Observer
 	historian  *historian.Historian
-	claimer    *claimer.Claimer
 	committer  *committer.Committer
 	link       *budgeter.Budgeter
 	measuring  *budgeter.Budgeter
@@ -162,7 +160,6 @@
 	})
 	table, objects := r.options.Table(r.meter.StoreCall)
 	r.historian = historian.New(table, objects)
-	r.claimer = claimer.New(table, r.settings.PlatformRegion, clock)
 	r.committer = committer.New(committer.Options{
 		Node: r.settings.Name, Controller: r.controller, Historian: r.historian, Recorder: r.recorder, Clock: clock,
 	})
@@ -171,7 +168,7 @@
 func (r *Runner) buildServers() servers {
 	return newServers(handlers{
 		callers: forwarder.New(forwarder.Options{
-			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(r.retryLimits()), Link: r.link, Claimer: r.claimer, Peers: r.peers,
+			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(r.retryLimits()), Link: r.link, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
 			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom, Stopping: r.stopping.Load,
@@ -188,6 +185,7 @@
 		operators: schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
 			Client: r.client, Load: r.load, Events: r.events, Clock: r.options.Clock,
+			Published: r.options.Source != nil,
 		})),
 		announce: announcer.New(r.announce, r.recorder),
 		ready:    r.readiness(),
--- a/standin/replay/schedule.go
+++ b/standin/replay/schedule.go
@@ -46,7 +46,7 @@
 	return []Requests{
 		{For: scheduleTime, Rate: 12, Path: "/bench/booking", Zone: zone, Bytes: 100, Timeout: time.Second, Once: true},
 		{For: scheduleTime, Rate: 3, Path: "/bench/upload", Zone: zone, Bytes: 150_000, Timeout: 2 * time.Second, Once: true},
-		{For: scheduleTime, Rate: 6, Path: "/bench/payment", Zone: zone, Bytes: 100, Timeout: time.Second, Once: true, Keyed: true, Resend: 2},
+		{For: scheduleTime, Rate: 6, Path: "/bench/payment", Zone: zone, Bytes: 100, Timeout: time.Second, Once: true, Resend: 2},
 		{For: scheduleTime, Rate: 6, Path: "/bench/local", Zone: zone, Bytes: 80, Timeout: time.Second, Once: true, Home: []string{"astana"}},
 		{For: scheduleTime, Rate: 12, Method: "GET", Path: "/vitrine/page", Zone: zone, Timeout: time.Second},
 		{For: scheduleTime, Rate: 6, Path: "/vitrine/hedged", Zone: zone, Bytes: 60, Timeout: time.Second, Hedge: true},
--- a/standin/replay/trace.go
+++ b/standin/replay/trace.go
@@ -54,9 +54,7 @@
 	Once bool
 	// Resend makes callers send a request again, under the same identifier, after a failure.
 	Resend int
-	// Keyed gives each request an Idempotency-Key, kept when it is sent again.
-	Keyed bool
-	Crash bool
+	Crash  bool
 	// Hedge lets the requests be sent a second time when the first is slow.
 	Hedge bool
 	// Home are the regions that the requests may run in; none means all.
--- a/state/historian/historian.go
+++ b/state/historian/historian.go
@@ -126,6 +126,14 @@
 	return h.table.Commit(ctx, eelgrasspoint.Transaction{Writes: []eelgrasspoint.Write{{Key: key, Value: value}}})
 }
 
+// DeleteRow deletes a row unless it was written since it was read.
+func (h *Historian) DeleteRow(ctx context.Context, row eelgrasspoint.Row) error {
+	return h.table.Commit(ctx, eelgrasspoint.Transaction{
+		Conditions: []eelgrasspoint.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []eelgrasspoint.Write{{Key: row.Key, Delete: true}},
+	})
+}
+
 // DeleteMember deletes a node's row.
 func (h *Historian) DeleteMember(ctx context.Context, key string) error {
 	return h.table.Commit(ctx, eelgrasspoint.Transaction{Writes: []eelgrasspoint.Write{{Key: key, Delete: true}}})
