Repeats work with many nodes; a refusal before the backend server costs no repeat; shorter waits

Tokens may now always add up to one attempt; ServerUnreachable is free; one wait, of 0.15 of the target, then the refusal; dials take 0.3 s. TestSharedLimitsOfManyNodes covers the tokens.

--- a/constants.go
+++ b/constants.go
@@ -78,12 +78,14 @@
 	MaxQueueShare      = 2
 	// FastShare is the part of its slots that a backend server works in at full speed.
 	FastShare          = 0.8
+	// QueueShare is the part of its target latency that a request may wait for a slot.
+	QueueShare         = 0.15
 	MaxQueueWait       = 120 * time.Millisecond
 	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
 	CrashSettleTime    = 2 * time.Second
 	MaxSuspectRequests = 4096
-	ConnectTimeout     = time.Second
+	ConnectTimeout     = 300 * time.Millisecond
 	BackendIdleTime    = 250 * time.Millisecond
 )
 
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -250,15 +250,12 @@
 	return min(patience(meta), eelgrasspoint.Remaining(meta.Deadline, a.clock()))
 }
 
-// queueShare is the part of its target latency that a request may wait for a slot.
-const queueShare = 0.4
-
 // patience is how long a request may wait for a slot.
 func patience(meta *eelgrasspoint.Meta) time.Duration {
 	if meta.TargetLatency == 0 {
 		return eelgrasspoint.MaxQueueWait
 	}
-	return time.Duration(queueShare * float64(meta.TargetLatency))
+	return time.Duration(eelgrasspoint.QueueShare * float64(meta.TargetLatency))
 }
 
 func refusal(reason eelgrasspoint.Reason) error {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -83,6 +83,7 @@
 		forwarder: f,
 		snapshot:  f.Holder.Load(),
 		request:   r,
+		began:     now,
 		meta:      eelgrasspoint.Meta{RequestID: call.RequestID, Client: call.Client, Depth: call.Depth, Caller: f.Service},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
 	}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -29,6 +29,7 @@
 	body     *replayer.Replayer
 	header   http.Header
 	tried    []*eelgrasspoint.Candidate
+	began    time.Time
 	attempts int
 	// arrivals counts the attempts that may have reached a backend server.
 	arrivals atomic.Int32
@@ -222,7 +223,7 @@
 	if err != nil {
 		gauge.End(began)
 		outcome := eelgrasspoint.AsOutcome(err)
-		if !outcome.Reason.ByExitNode() || outcome.Outcome != eelgrasspoint.NotRun {
+		if !outcome.Reason.BeforeServer() || outcome.Outcome != eelgrasspoint.NotRun {
 			p.arrivals.Add(1)
 		}
 		if outcome.Outcome != eelgrasspoint.NotRun {
@@ -302,7 +303,10 @@
 		return false
 	}
 	purpose := retrier.PurposeOf(last)
-	if purpose == retrier.Redirect {
+	if p.insisting && p.waited() {
+		return false
+	}
+	if last.Reason == eelgrasspoint.SlowServer || last.Reason == eelgrasspoint.Overloaded {
 		p.busy = append(p.busy, p.tried[len(p.tried)-1])
 	}
 	// A redirect that was already answered by "slow" is not given up for the budget's sake.
@@ -377,6 +381,14 @@
 	})
 }
 
+// waited reports whether the request has had its time to wait for a slot: another wait would only
+// hold back the answer that there is none.
+func (p *passage) waited() bool {
+	target := p.meta.TargetLatency
+	patience := time.Duration(eelgrasspoint.QueueShare * float64(target))
+	return target > 0 && p.forwarder.Clock().Sub(p.began) > patience
+}
+
 // recordRetry says why an attempt ended and what was known of its candidate.
 func (p *passage) recordRetry(last *eelgrasspoint.OutcomeError) {
 	candidate := p.tried[len(p.tried)-1]
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -87,7 +87,8 @@
 func (r *Retrier) Earn(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	burst := r.limits.Burst()
+	// Where all nodes share little slack, one attempt must still fit what is earned.
+	burst := max(1, r.limits.Burst())
 	tokens := r.of(service)
 	for purpose := range tokens {
 		tokens[purpose] = min(burst, tokens[purpose]+r.limits.Shares[purpose])
@@ -138,7 +139,7 @@
 
 // PurposeOf returns the budget that an attempt after the failure is taken from.
 func PurposeOf(err *eelgrasspoint.OutcomeError) Purpose {
-	if err.Outcome == eelgrasspoint.NotRun && err.Reason.ByExitNode() {
+	if err.Outcome == eelgrasspoint.NotRun && err.Reason.BeforeServer() {
 		return Redirect
 	}
 	return Retry
--- a/coordination/retrier/shared_test.go
+++ b/coordination/retrier/shared_test.go
@@ -43,3 +43,17 @@
 		}
 	})
 }
+
+// With many nodes each one's part of the slack is less than an attempt; what is earned by first
+// attempts must be spent all the same.
+func TestSharedLimitsOfManyNodes(t *testing.T) {
+	r := retrier.New(retrier.SharedLimits(0.2, 194, func() int { return 77 }))
+	spent := 0
+	for range 200 {
+		r.Earn("s")
+		if r.Spend("s", retrier.Retry) {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 9 && spent <= 11, "%d retries of 200 requests", spent)
+}
--- a/outcome.go
+++ b/outcome.go
@@ -98,11 +98,11 @@
 	}
 }
 
-// ByExitNode reports whether a refusal for the reason is the exit node's own, so that nothing
-// reached its backend server.
-func (r Reason) ByExitNode() bool {
+// BeforeServer reports whether a refusal for the reason came before anything reached the backend
+// server.
+func (r Reason) BeforeServer() bool {
 	switch r {
-	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady:
+	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
 		return true
 	default:
 		return false
