--- a/constants.go
+++ b/constants.go
@@ -77,7 +77,7 @@
 	FailureShare       = 10
 	MaxQueueShare      = 2
 	// FastShare is the part of its slots that a backend server works in at full speed.
-	FastShare          = 0.8
+	FastShare = 0.8
 	// QueueShare is the part of its target latency that a request may wait for a slot.
 	QueueShare         = 0.15
 	MaxQueueWait       = 120 * time.Millisecond
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -23,7 +23,7 @@
 
 func (quiet) Record(eelgrasspoint.Event) {}
 
-func newNode(t interface{ Cleanup(func()) }) *node {
+func newNode() *node {
 	n := &node{}
 	n.Controller = controller.New(controller.Options{
 		Self:       eelgrasspoint.Member{Name: "self", Region: "r", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")},
@@ -75,7 +75,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			n := newNode(t)
+			n := newNode()
 			go n.Run(t.Context())
 			for _, a := range c.said {
 				n.say(a)
@@ -95,7 +95,7 @@
 // in whatever order they come, and that a lifetime which said that it leaves stays so.
 func TestAnnouncementsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := newNode(t)
+		n := newNode()
 		ctx := t.Context()
 		go n.Run(ctx)
 		var newest uint64
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -138,8 +138,11 @@
 	load := e.Load()
 	said, at := e.ServerLoad()
 	inputs := []eelgrasspoint.Input{
-		{Name: "Attempt", Value: meta.Attempt}, {Name: "Insists", Value: meta.Insists},
-		{Name: "InUse", Value: load.InUse}, {Name: "Limit", Value: load.Limit}, {Name: "Queued", Value: load.Queued},
+		{Name: "Attempt", Value: meta.Attempt},
+		{Name: "Insists", Value: meta.Insists},
+		{Name: "InUse", Value: load.InUse},
+		{Name: "Limit", Value: load.Limit},
+		{Name: "Queued", Value: load.Queued},
 		{Name: "LeftMilliseconds", Value: eelgrasspoint.Remaining(meta.Deadline, e.options.Clock()).Milliseconds()},
 		{Name: "Revision", Value: snapshot.Configuration.Revision},
 	}
--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -394,8 +394,11 @@
 	candidate := p.tried[len(p.tried)-1]
 	load, at := candidate.Gauge.Load()
 	inputs := []eelgrasspoint.Input{
-		{Name: "ExitNode", Value: candidate.Node}, {Name: "InUse", Value: load.InUse}, {Name: "Limit", Value: load.Limit},
-		{Name: "Queued", Value: load.Queued}, {Name: "Slowness", Value: load.Slowness},
+		{Name: "ExitNode", Value: candidate.Node},
+		{Name: "InUse", Value: load.InUse},
+		{Name: "Limit", Value: load.Limit},
+		{Name: "Queued", Value: load.Queued},
+		{Name: "Slowness", Value: load.Slowness},
 	}
 	if !at.IsZero() {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "AgeMilliseconds", Value: p.forwarder.Clock().Sub(at).Milliseconds()})
