--- a/contract.go
+++ b/contract.go
@@ -30,8 +30,6 @@
 	Reason  Reason
 	Load    ServerLoad
 	HasLoad bool
-	// Leaving is set if the backend server closes the connection after the answer.
-	Leaving bool
 }
 
 // Health is what a backend server answers to a health check.
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -37,7 +37,6 @@
 		}
 		r.sleep(ctx, joinRetry)
 	}
-	r.joined.Store(true)
 	r.sleep(ctx, eelgrasspoint.ScanInterval)
 	r.scanMembers(ctx)
 	r.keepRow(ctx)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,10 +67,6 @@
 	aborted     chan struct{}
 	stopping    atomic.Bool
 	wasReady    atomic.Bool
-	// joined is set once the node knows the others, as far as there is anybody to ask.
-	joined atomic.Bool
-	// tunables are the settings last read; what may change while the node runs is taken from them.
-	tunables atomic.Pointer[loader.Settings]
 }
 
 // Options are what a node is given from outside, so that a test can give something else.
@@ -110,7 +106,6 @@
 		options.Contract = parser.New()
 	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
-	r.tunables.Store(r.settings)
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -55,7 +55,6 @@
 	// DrainTimeout is how long a stopping node goes on taking callers.
 	DrainTimeout time.Duration
 	RetryBudget  RetryBudget
-	ColdStart    ColdStart
 }
 
 // RetryBudget bounds the attempts beyond the first of all nodes together, for each service:
@@ -66,13 +65,6 @@
 	Slack  int
 }
 
-// ColdStart bounds the requests of one second to a cold backend server: Overshoot times the
-// rate that its service bears, and Slack more.
-type ColdStart struct {
-	Overshoot float64
-	Slack     int
-}
-
 // Contracts with callers, backend servers and the platform.
 const (
 	ContractOwn      = "own"
