--- a/state/emitter/emitter.go
+++ b/state/emitter/emitter.go
@@ -13,6 +13,8 @@
 const (
 	maxQueuedLines    = 1024
 	maxLinesPerSecond = 400
+	// closeTimeout bounds the wait for an output that takes nothing.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Emitter is an io.Writer for whole lines. It is safe for concurrent use.
@@ -43,10 +45,19 @@
 // Dropped returns how many lines were dropped so far.
 func (e *Emitter) Dropped() uint64 { return e.dropped.Load() }
 
-// Close writes what is queued. What is written after it is lost.
+// Close writes what is queued, if the output takes it in time. What is written after it is lost.
 func (e *Emitter) Close() {
-	e.lines <- nil
-	<-e.ended
+	limit := time.NewTimer(closeTimeout)
+	defer limit.Stop()
+	select {
+	case e.lines <- nil:
+	case <-limit.C:
+		return
+	}
+	select {
+	case <-e.ended:
+	case <-limit.C:
+	}
 }
 
 // run writes the lines, within a number for each second, and says how many were dropped.
--- a/state/emitter/emitter_test.go
+++ b/state/emitter/emitter_test.go
@@ -56,3 +56,19 @@
 		assert.Equal(t, uint64(2000-lines), e.Dropped())
 	})
 }
+
+// TestCloseDoesNotHang ends while the output takes nothing.
+func TestCloseDoesNotHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		e := emitter.New(out)
+		for range 3000 {
+			_, _ = e.Write([]byte("x\n"))
+		}
+		began := time.Now()
+		e.Close()
+		assert.Assert(t, time.Since(began) <= time.Second, "%v", time.Since(began))
+		close(out.release)
+		e.Close()
+	})
+}
