A route that goes while a request is on its way ends with 404, not with a panic

Ruled out: a cut connection, a stop (neither is near). TestRouteGoneMeanwhile was red before, with the same panic.

--- a/coordination/forwarder/passage.go
+++ b/coordination/forwarder/passage.go
@@ -89,6 +89,9 @@
 		}
 		last = p.callerFailure(err)
 		if last.Reason == eelgrasspoint.StaleRoute && p.catchUp(ctx) {
+			if refusal := p.route(); refusal != nil {
+				return nil, refusal
+			}
 			continue
 		}
 		if !p.mayRetry(last) {
@@ -97,7 +100,7 @@
 	}
 }
 
-// catchUp fetches the configuration that another node has and looks the route up again.
+// catchUp fetches the configuration that another node has, once, and reports whether it is newer.
 func (p *passage) catchUp(ctx context.Context) bool {
 	if p.caughtUp {
 		return false
@@ -106,7 +109,7 @@
 	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
 	p.snapshot = p.forwarder.Holder.Load()
 	p.tried, p.busy = nil, nil
-	return p.snapshot.Configuration.Revision > p.meta.Revision && p.route() == nil
+	return p.snapshot.Configuration.Revision > p.meta.Revision
 }
 
 // outgoingHeader is what every attempt carries of the caller's headers.
--- a/standin/proof/attempts_test.go
+++ b/standin/proof/attempts_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrasspoint"
+	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/standin/backend"
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/standin/stage"
@@ -136,3 +137,32 @@
 		}
 	})
 }
+
+// TestRouteGoneMeanwhile sends a request through a node that has not heard yet that its route was
+// removed, or leads elsewhere, to one that has.
+func TestRouteGoneMeanwhile(t *testing.T) {
+	cases := []struct {
+		name   string
+		change *schema.ApplyRequest
+		status int
+		reason string
+	}{
+		{"removed", &schema.ApplyRequest{Remove: &schema.Removal{Routes: []string{"bookings"}}}, http.StatusNotFound, "NoRoute"},
+		{"moved", &schema.ApplyRequest{Put: &schema.Document{Routes: []*schema.Route{
+			{Name: "bookings", PathPrefix: "/bookings", Service: "vitrine", Kind: "booking"},
+		}}}, http.StatusOK, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withPair(t, backend.Behavior{}, func(t *testing.T, p *pair) {
+				response := p.Commit(t.Context(), p.exit, c.change)
+				assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
+				assert.Assert(t, p.entry.Runner.View().Revision < response.GetRevision())
+				e := p.book("b", nil)
+				assert.Equal(t, e.status, c.status, "%+v", e)
+				assert.Equal(t, e.reason, c.reason)
+				assert.Equal(t, p.exit.Backend.Runs()["b"], 0)
+			})
+		})
+	}
+}
