One lookup of a service, one wait for the control state, one count of nodes

Document.Service, Controller.Settle, Runner.nodes and told serve now; Stopped has no caller left and goes.

--- a/configuration.go
+++ b/configuration.go
@@ -104,6 +104,16 @@
 	Budgets           []Budget
 }
 
+// Service returns the definition of a service, or the zero value if there is none.
+func (d *Document) Service(name string) Service {
+	for _, service := range d.Services {
+		if service.Name == name {
+			return service
+		}
+	}
+	return Service{}
+}
+
 // Removal names definitions to delete.
 type Removal struct {
 	Regions           []string
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -116,8 +116,18 @@
 	}
 }
 
-// Stopped is closed when no more commands are taken.
-func (c *Controller) Stopped() <-chan struct{} { return c.stopped }
+// Settle waits until all commands so far are in force, and reports whether they are: a stopped
+// controller takes none.
+func (c *Controller) Settle() bool {
+	done := make(chan struct{})
+	c.Do(Barrier{Done: done})
+	select {
+	case <-done:
+		return true
+	case <-c.stopped:
+		return false
+	}
+}
 
 // View returns what the exchange may know.
 func (c *Controller) View() *eelgrasspoint.View { return c.view.Load() }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -106,10 +106,8 @@
 // Load returns the present counts of the backend server's work.
 func (e *Executor) Load() eelgrasspoint.Load {
 	load := e.options.Admitter.Load()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.load.at.IsZero() {
-		load.Slowness = e.load.load.Slowness
+	if said := e.told(); !said.at.IsZero() {
+		load.Slowness = said.load.Slowness
 	}
 	return load
 }
@@ -135,7 +133,7 @@
 		number = eelgrasspoint.EventAttemptRefused
 	}
 	load := e.Load()
-	said, at := e.ServerLoad()
+	said := e.told()
 	inputs := []eelgrasspoint.Input{
 		{Name: "Attempt", Value: meta.Attempt},
 		{Name: "Insists", Value: meta.Insists},
@@ -145,10 +143,10 @@
 		{Name: "LeftMilliseconds", Value: eelgrasspoint.Remaining(meta.Deadline, e.options.Clock()).Milliseconds()},
 		{Name: "Revision", Value: snapshot.Configuration.Revision},
 	}
-	if !at.IsZero() {
+	if !said.at.IsZero() {
 		inputs = append(inputs,
-			eelgrasspoint.Input{Name: "Slowness", Value: said.Slowness},
-			eelgrasspoint.Input{Name: "AgeMilliseconds", Value: e.options.Clock().Sub(at).Milliseconds()})
+			eelgrasspoint.Input{Name: "Slowness", Value: said.load.Slowness},
+			eelgrasspoint.Input{Name: "AgeMilliseconds", Value: e.options.Clock().Sub(said.at).Milliseconds()})
 	}
 	e.options.Recorder.Record(eelgrasspoint.Event{
 		Number: number, Service: meta.Service, RequestID: meta.RequestID, Permitted: meta.Permitted,
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -104,12 +104,7 @@
 	if backend == nil {
 		return ""
 	}
-	for _, service := range e.options.Holder.Load().Configuration.Document.Services {
-		if service.Name == backend.Service {
-			return service.HealthPath
-		}
-	}
-	return ""
+	return e.options.Holder.Load().Configuration.Document.Service(backend.Service).HealthPath
 }
 
 // checkHealth asks the backend server how it is and closes done.
@@ -170,10 +165,9 @@
 	response.Body.Close()
 }
 
-// ServerLoad returns what the backend server last said of its work, and when; the time is zero
-// if it said nothing.
-func (e *Executor) ServerLoad() (eelgrasspoint.ServerLoad, time.Time) {
+// told returns what the backend server last said of its work; the time is zero if it said nothing.
+func (e *Executor) told() timedLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.load.load, e.load.at
+	return e.load
 }
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -166,12 +166,8 @@
 	if o.deafRounds > 0 {
 		return
 	}
-	inForce := make(chan struct{})
-	o.options.Controller.Do(controller.Barrier{Done: inForce})
-	select {
-	case <-inForce:
+	if o.options.Controller.Settle() {
 		o.options.Refreshed(o.options.Clock())
-	case <-o.options.Controller.Stopped():
 	}
 }
 
--- a/runner/greet.go
+++ b/runner/greet.go
@@ -18,7 +18,7 @@
 		return
 	}
 	for ctx.Err() == nil && r.controller.View().Self.BackendServer == nil {
-		if path := r.healthPath(); path != "" && r.greetOnce(ctx, path) {
+		if path := r.definition(r.settings.Service).HealthPath; path != "" && r.greetOnce(ctx, path) {
 			return
 		}
 		select {
@@ -28,15 +28,6 @@
 	}
 }
 
-func (r *Runner) healthPath() string {
-	for _, service := range r.holder.Load().Configuration.Document.Services {
-		if service.Name == r.settings.Service {
-			return service.HealthPath
-		}
-	}
-	return ""
-}
-
 func (r *Runner) greetOnce(ctx context.Context, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, greetInterval)
 	defer cancel()
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -62,7 +62,7 @@
 // askMembers syncs with a few members: the rows may be old, and news of what happened before
 // does not come again.
 func (r *Runner) askMembers(ctx context.Context) {
-	r.settle()
+	r.controller.Settle()
 	view := r.controller.View()
 	asked := 0
 	for _, i := range rand.Perm(len(view.Members)) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -109,7 +109,7 @@
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
-	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.aliveMembers, ControlBytes: r.control.Bytes})
+	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.nodes, ControlBytes: r.control.Bytes})
 	r.link = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
 	r.measuring = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
 	r.buildTraffic()
@@ -241,7 +241,7 @@
 	if budget.Window == 0 {
 		return retrier.DefaultLimits()
 	}
-	return retrier.SharedLimits(budget.Share, budget.Slack, func() int { return r.holder.Load().Nodes })
+	return retrier.SharedLimits(budget.Share, budget.Slack, r.nodes)
 }
 
 // catchUpFrom fetches what another node has configured after a revision and waits until it is in force.
@@ -249,7 +249,7 @@
 	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 	defer cancel()
 	r.observer.Pull(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
-	r.settle()
+	r.controller.Settle()
 }
 
 func (r *Runner) random() *rand.Rand { return eelgrasspoint.NewRandom(r.options.Seed) }
@@ -258,15 +258,7 @@
 
 func (r *Runner) revision() uint64 { return r.holder.Load().Configuration.Revision }
 
-func (r *Runner) aliveMembers() int {
-	n := 0
-	for _, m := range r.controller.View().Members {
-		if m.Alive() {
-			n++
-		}
-	}
-	return n
-}
+func (r *Runner) nodes() int { return r.holder.Load().Nodes }
 
 func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
 	r.controller.Do(controller.Announce{Announcement: eelgrasspoint.Announcement{Backend: backend}})
@@ -311,10 +303,8 @@
 
 // setColdLimit bounds the rate of requests to the backend server while it is cold.
 func (r *Runner) setColdLimit(document *eelgrasspoint.Document) {
-	for _, service := range document.Services {
-		if service.Name == r.settings.Service && service.ColdRate > 0 {
-			r.admitter.SetColdLimit(max(1, int(service.ColdRate)))
-		}
+	if rate := document.Service(r.settings.Service).ColdRate; rate > 0 {
+		r.admitter.SetColdLimit(max(1, int(rate)))
 	}
 }
 
--- a/runner/source.go
+++ b/runner/source.go
@@ -36,21 +36,11 @@
 		r.storeBack()
 		if configuration.Revision > r.revision() {
 			r.controller.Do(controller.Replace{Configuration: configuration})
-			r.settle()
+			r.controller.Settle()
 		}
 	}
 }
 
-// settle waits until what was handed to the controller is in force.
-func (r *Runner) settle() {
-	done := make(chan struct{})
-	r.controller.Do(controller.Barrier{Done: done})
-	select {
-	case <-done:
-	case <-r.controller.Stopped():
-	}
-}
-
 // announcements takes what the backend server says; its answer is given once that is in force.
 func (r *Runner) announcements() http.Handler {
 	if r.options.Announcements == nil {
@@ -61,20 +51,23 @@
 			a.Backend.Connections = r.connections(a.Backend.Service)
 		}
 		r.controller.Do(controller.Announce{Announcement: a})
-		r.settle()
+		r.controller.Settle()
 	}, r.recorder)
 }
 
 // connections returns how many connections a backend server of the service accepts.
 func (r *Runner) connections(service string) uint32 {
-	for _, s := range r.holder.Load().Configuration.Document.Services {
-		if s.Name == service && s.Connections > 0 {
-			return s.Connections
-		}
+	if connections := r.definition(service).Connections; connections > 0 {
+		return connections
 	}
 	return eelgrasspoint.DefaultConnections
 }
 
+// definition returns what is configured of a service.
+func (r *Runner) definition(service string) eelgrasspoint.Service {
+	return r.holder.Load().Configuration.Document.Service(service)
+}
+
 func (r *Runner) readiness() http.Handler {
 	if r.options.Readiness == nil {
 		return http.NotFoundHandler()
