--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -78,11 +78,12 @@
 func adapt(options *runner.Options) {
 	settings := options.Settings
 	client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, MaxConnsPerHost: storeConnections}}
-	calls := platform.NewTable(settings.Platform, client, func(string, string) {})
-	options.Table = func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
-		return calls, nil
+	options.Table = func(count func(call, result string)) eelgrasspoint.Table {
+		return platform.NewTable(settings.Platform, client, count)
+	}
+	options.Source = func(count func(call, result string)) eelgrasspoint.Source {
+		return platform.NewSource(platform.NewTable(settings.Platform, client, count), settings.AvailabilityZones)
 	}
-	options.Source = platform.NewSource(calls, settings.AvailabilityZones)
 	options.Contract = platform.Contract{}
 	options.TellsLoad = true
 	options.Limiter = limiter.NewFixed(eelgrasspoint.DefaultSlots)
@@ -95,14 +96,13 @@
 
 // ownPlatform returns the adapter of the project's own platform, or one in memory if the
 // settings name none.
-func ownPlatform(settings *loader.Settings) func(func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
-	return func(count func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore) {
+func ownPlatform(settings *loader.Settings) func(count func(call, result string)) eelgrasspoint.Table {
+	return func(count func(call, result string)) eelgrasspoint.Table {
 		if !settings.Platform.IsValid() {
-			memory := memorizer.New()
-			return memory, memory
+			return memorizer.New()
 		}
-		adapter := tablecaller.New(settings.Platform, &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}, count)
-		return adapter, adapter
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: storeConnections}}
+		return tablecaller.New(settings.Platform, client, count)
 	}
 }
 
--- a/configuration.go
+++ b/configuration.go
@@ -124,16 +124,6 @@
 	Budgets           []string
 }
 
-// Change is one numbered step of the configuration.
-type Change struct {
-	Revision    uint64
-	ChangeID    string
-	Put         Document
-	Remove      Removal
-	CommittedAt time.Time
-	CommittedBy string
-}
-
 // Configuration is the document in force and the revision that made it. It is immutable.
 type Configuration struct {
 	Revision uint64
--- a/constants.go
+++ b/constants.go
@@ -119,13 +119,10 @@
 
 // Configuration.
 const (
-	PollInterval        = 20 * time.Second
-	ReadBackTimeout     = 5 * time.Second
-	StoreTimeout        = 2 * time.Second
-	MaxChangeBytes      = 128 << 10
-	MaxChangesPerAnswer = 128
-	CompactAfter        = 256
-	RolloutTimeout      = 2 * time.Second
+	PollInterval    = 20 * time.Second
+	ReadBackTimeout = 5 * time.Second
+	StoreTimeout    = 2 * time.Second
+	RolloutTimeout  = 2 * time.Second
 )
 
 // Load hints and the cost of measuring.
--- a/coordination/committer/committer.go
+++ b/coordination/committer/committer.go
@@ -11,8 +11,8 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/state/checker"
-	"eelgrasspoint/state/historian"
 	"eelgrasspoint/state/merger"
+	"eelgrasspoint/state/publisher"
 )
 
 // Committer is safe for concurrent use; the table service orders the commits of all nodes.
@@ -20,16 +20,16 @@
 
 // Options are what a committer depends on.
 type Options struct {
-	Node       string
 	Controller *controller.Controller
-	Historian  *historian.Historian
+	Publisher  *publisher.Publisher
 	Recorder   eelgrasspoint.Recorder
-	Clock      eelgrasspoint.Clock
 }
 
 // Proposal is a change that an operator asks for.
 type Proposal struct {
-	Change           eelgrasspoint.Change
+	ChangeID         string
+	Put              eelgrasspoint.Document
+	Remove           eelgrasspoint.Removal
 	ExpectedRevision uint64
 	Force            []string
 	DryRun           bool
@@ -50,99 +50,75 @@
 }
 
 func (c *Committer) commit(ctx context.Context, proposal Proposal) (uint64, error) {
-	found, err := c.options.Historian.Find(ctx, proposal.Change.ChangeID)
-	if err != nil || found != 0 {
-		return found, err
-	}
-	head, base, err := c.catchUp(ctx)
+	base, err := c.options.Publisher.Read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if proposal.ExpectedRevision != 0 && proposal.ExpectedRevision != base.Revision {
-		return 0, &eelgrasspoint.RevisionConflictError{Expected: proposal.ExpectedRevision, Winner: base.Revision}
+	c.options.Controller.Do(controller.Replace{Configuration: base.Configuration})
+	if found := base.Find(proposal.ChangeID); found != 0 {
+		return found, nil
+	}
+	revision := base.Configuration.Revision
+	if inForce := c.options.Controller.View().Revision; inForce > revision {
+		// The read was stale; nothing may be committed on it.
+		return 0, &eelgrasspoint.RevisionConflictError{Expected: revision, Winner: inForce}
+	}
+	if proposal.ExpectedRevision != 0 && proposal.ExpectedRevision != revision {
+		return 0, &eelgrasspoint.RevisionConflictError{Expected: proposal.ExpectedRevision, Winner: revision}
 	}
-	next := merger.Apply(&base.Document, &proposal.Change.Put, &proposal.Change.Remove)
-	if mistakes := c.mistakes(&base.Document, &next, proposal); len(mistakes) > 0 {
+	next := merger.Apply(&base.Configuration.Document, &proposal.Put, &proposal.Remove)
+	if mistakes := c.mistakes(&base.Configuration.Document, &next, proposal); len(mistakes) > 0 {
 		return 0, &eelgrasspoint.InvalidError{Mistakes: mistakes}
 	}
 	if proposal.DryRun {
-		return base.Revision, nil
+		return revision, nil
 	}
-	change := proposal.Change
-	change.Revision = base.Revision + 1
-	change.CommittedAt = c.options.Clock()
-	change.CommittedBy = c.options.Node
-	if err := c.append(ctx, head, change); err != nil {
+	if err := c.replace(ctx, base, proposal.ChangeID, &next); err != nil {
 		return 0, err
 	}
-	c.options.Controller.Do(controller.Adopt{Changes: []eelgrasspoint.Change{change}})
-	c.compact(ctx, eelgrasspoint.Configuration{Revision: change.Revision, Document: next})
-	return change.Revision, nil
-}
-
-// catchUp returns the head and its configuration, and puts it in force here.
-func (c *Committer) catchUp(ctx context.Context) (historian.Head, eelgrasspoint.Configuration, error) {
-	head, err := c.options.Historian.Head(ctx)
-	if err != nil {
-		return head, eelgrasspoint.Configuration{}, err
-	}
-	base, changes, replaced, err := c.options.Historian.Load(ctx, *c.options.Controller.Configuration(), head)
-	if err != nil {
-		return head, base, err
-	}
-	if replaced {
-		c.options.Controller.Do(controller.Replace{Configuration: base})
-	} else {
-		c.options.Controller.Do(controller.Adopt{Changes: changes})
-	}
-	if base.Revision > head.Revision {
-		// The read of the head was stale; nothing may be committed on it.
-		return head, base, &eelgrasspoint.RevisionConflictError{Expected: head.Revision, Winner: base.Revision}
-	}
-	return head, base, nil
+	c.options.Controller.Do(controller.Replace{Configuration: eelgrasspoint.Configuration{Revision: revision + 1, Document: next}})
+	return revision + 1, nil
 }
 
-// append writes the change and settles a lost answer. Every repetition is conditional on the
-// same head, so that at most one takes effect.
-func (c *Committer) append(ctx context.Context, head historian.Head, change eelgrasspoint.Change) error {
-	err := c.options.Historian.Append(ctx, head, change)
+// replace writes the document and settles a lost answer. Every repetition is conditional on the
+// same base, so that at most one takes effect.
+func (c *Committer) replace(ctx context.Context, base publisher.Published, changeID string, next *eelgrasspoint.Document) error {
+	err := c.options.Publisher.Replace(ctx, base, changeID, next)
 	var unknown *eelgrasspoint.UnknownOutcomeError
 	if !errors.As(err, &unknown) {
-		return c.appendError(ctx, change, err, false)
+		return c.replaceError(ctx, base, changeID, err, false)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), eelgrasspoint.ReadBackTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		err = c.appendError(ctx, change, c.options.Historian.Append(ctx, head, change), true)
+		err = c.replaceError(ctx, base, changeID, c.options.Publisher.Replace(ctx, base, changeID, next), true)
 		if settled(err) {
 			return err
 		}
 		pause(ctx)
 	}
-	return &eelgrasspoint.UnknownOutcomeError{ChangeID: change.ChangeID, Cause: unknown.Cause}
+	return &eelgrasspoint.UnknownOutcomeError{ChangeID: changeID, Cause: unknown.Cause}
 }
 
-// appendError turns a conflict into what it means. A conflict after a lost answer may be with
+// replaceError turns a conflict into what it means. A conflict after a lost answer may be with
 // the first write of this very change, so its identifier decides.
-func (c *Committer) appendError(ctx context.Context, change eelgrasspoint.Change, err error, repeated bool) error {
+func (c *Committer) replaceError(ctx context.Context, base publisher.Published, changeID string, err error, repeated bool) error {
 	var conflict *eelgrasspoint.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	if repeated {
-		found, findErr := c.options.Historian.Find(ctx, change.ChangeID)
-		if findErr != nil {
-			return &eelgrasspoint.UnknownOutcomeError{ChangeID: change.ChangeID, Cause: findErr}
-		}
-		if found != 0 {
-			return nil
-		}
-	}
-	head, headErr := c.options.Historian.Head(ctx)
-	if headErr != nil {
-		head.Revision = change.Revision
-	}
-	return &eelgrasspoint.RevisionConflictError{Expected: change.Revision - 1, Winner: head.Revision}
+	lost := &eelgrasspoint.RevisionConflictError{Expected: base.Configuration.Revision, Winner: base.Configuration.Revision + 1}
+	now, readErr := c.options.Publisher.Read(ctx)
+	switch {
+	case readErr != nil && repeated:
+		return &eelgrasspoint.UnknownOutcomeError{ChangeID: changeID, Cause: readErr}
+	case readErr != nil:
+		return lost
+	case repeated && now.Find(changeID) != 0:
+		return nil
+	}
+	lost.Winner = now.Configuration.Revision
+	return lost
 }
 
 // settled reports whether the fate of a change is known: an unavailable platform leaves an
@@ -162,18 +138,6 @@
 	}
 }
 
-// compact keeps the history short. Whoever commits after a failure tries again.
-func (c *Committer) compact(ctx context.Context, configuration eelgrasspoint.Configuration) {
-	head, err := c.options.Historian.Head(ctx)
-	if err != nil || head.Revision != configuration.Revision {
-		return
-	}
-	if head.Revision-head.SnapshotRevision < eelgrasspoint.CompactAfter {
-		return
-	}
-	_ = c.options.Historian.Compact(ctx, head, configuration)
-}
-
 func (c *Committer) mistakes(before, after *eelgrasspoint.Document, proposal Proposal) []eelgrasspoint.Mistake {
 	mistakes := checker.Check(after)
 	return append(mistakes, c.lastZones(before, after, proposal.Force)...)
@@ -226,7 +190,7 @@
 }
 
 func (c *Committer) record(proposal Proposal, revision uint64, err error) {
-	event := eelgrasspoint.Event{Number: eelgrasspoint.EventChangeAccepted, Detail: fmt.Sprintf("change %s is revision %d", proposal.Change.ChangeID, revision)}
+	event := eelgrasspoint.Event{Number: eelgrasspoint.EventChangeAccepted, Detail: fmt.Sprintf("change %s is revision %d", proposal.ChangeID, revision)}
 	var unknown *eelgrasspoint.UnknownOutcomeError
 	switch {
 	case errors.As(err, &unknown):
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/router"
-	"eelgrasspoint/state/merger"
 )
 
 // Announce is what the backend server beside the node said of itself.
@@ -124,20 +122,6 @@
 
 func (MoveBridges) apply(c *Controller) { c.bridgeOffset++ }
 
-// Adopt is a run of committed changes.
-type Adopt struct{ Changes []eelgrasspoint.Change }
-
-func (a Adopt) apply(c *Controller) {
-	for _, change := range a.Changes {
-		if change.Revision != c.configuration.Revision+1 {
-			continue
-		}
-		document := merger.Apply(&c.configuration.Document, &change.Put, &change.Remove)
-		c.remember(change)
-		c.setConfiguration(change.Revision, document)
-	}
-}
-
 // Replace is a whole configuration of a higher revision.
 type Replace struct{ Configuration eelgrasspoint.Configuration }
 
@@ -145,20 +129,9 @@
 	if r.Configuration.Revision <= c.configuration.Revision {
 		return
 	}
-	c.history = nil
-	c.recentCount = 0
 	c.setConfiguration(r.Configuration.Revision, r.Configuration.Document)
 }
 
-// remember keeps the last changes for nodes that lack them.
-func (c *Controller) remember(change eelgrasspoint.Change) {
-	c.history = append(slices.Clone(c.history), change)
-	if over := len(c.history) - eelgrasspoint.MaxChangesPerAnswer; over > 0 {
-		c.history = c.history[over:]
-	}
-	c.recentCount = min(c.recentCount+1, len(c.history))
-}
-
 // Respread makes members news again, as for a node that lacks them.
 type Respread struct{ Names []string }
 
@@ -175,7 +148,6 @@
 	before := c.zonesOut()
 	c.configuration = &eelgrasspoint.Configuration{Revision: revision, Document: document}
 	c.router = router.New(&c.configuration.Document)
-	c.recentUntil = c.options.Clock().Add(eelgrasspoint.NewsRounds * eelgrasspoint.HeartbeatInterval)
 	c.record(eelgrasspoint.EventRevisionInForce, "", "", fmt.Sprintf("revision %d", revision))
 	c.recordZones(before)
 	if c.options.SetBudgets != nil {
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -33,9 +33,6 @@
 	newsUntil     map[string]time.Time
 	configuration *eelgrasspoint.Configuration
 	router        *router.Router
-	history       []eelgrasspoint.Change
-	recentCount   int
-	recentUntil   time.Time
 	announcedAt   time.Time
 	draining      bool
 	bridgeOffset  int
@@ -171,10 +168,6 @@
 			changed = true
 		}
 	}
-	if c.recentCount > 0 && now.After(c.recentUntil) {
-		c.recentCount = 0
-		changed = true
-	}
 	return changed
 }
 
@@ -225,8 +218,6 @@
 		Digest:   arranger.Digest(members),
 		Revision: c.configuration.Revision,
 		Observed: c.observed(members),
-		Recent:   c.history[len(c.history)-c.recentCount:],
-		History:  c.history,
 	}
 	c.view.Store(view)
 	c.options.Holder.Publish(&eelgrasspoint.Snapshot{
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -26,7 +26,7 @@
 	Load    func() eelgrasspoint.Load
 	Witness func(time.Time)
 	Now     func() time.Time
-	// Pull fetches changes from a member that has a higher revision.
+	// Pull fetches the configuration from a member that has a higher revision.
 	Pull func(m eelgrasspoint.Member, after uint64)
 	// Events returns recorded events.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
@@ -48,7 +48,7 @@
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
 	e.learn(request)
 	view := e.options.Controller.View()
-	if request.GetRevision() > view.Revision+uint64(len(request.GetChanges())) {
+	if request.GetRevision() > view.Revision {
 		e.pullFrom(view, request)
 	}
 	news := view.NewsAt(e.options.Now())
@@ -74,9 +74,6 @@
 	if len(members) > 0 {
 		e.options.Controller.Do(controller.Learn{Members: members})
 	}
-	if changes := translator.Changes(request.GetChanges()); len(changes) > 0 {
-		e.options.Controller.Do(controller.Adopt{Changes: changes})
-	}
 }
 
 // pullFrom fetches from the sender, which may be known only by the message itself.
@@ -90,22 +87,15 @@
 	}
 }
 
-// Changes answers with the changes after a revision, or the whole document if they are no
-// longer kept.
-func (e *Exchanger) Changes(_ context.Context, request *schema.ChangesRequest) (*schema.ChangesResponse, error) {
-	view := e.options.Controller.View()
-	after := request.GetAfterRevision()
-	if after >= view.Revision {
-		return &schema.ChangesResponse{}, nil
-	}
-	if len(view.History) > 0 && view.History[0].Revision <= after+1 {
-		skip := after + 1 - view.History[0].Revision
-		return &schema.ChangesResponse{Changes: translator.ChangeMessages(view.History[skip:])}, nil
-	}
+// Configuration answers with the configuration in force if it is newer than the one asked for.
+func (e *Exchanger) Configuration(_ context.Context, request *schema.ConfigurationRequest) (*schema.GetResponse, error) {
 	configuration := e.options.Controller.Configuration()
-	return &schema.ChangesResponse{
-		Snapshot:         translator.DocumentMessage(&configuration.Document),
-		SnapshotRevision: configuration.Revision,
+	if request.GetAfterRevision() >= configuration.Revision {
+		return &schema.GetResponse{}, nil
+	}
+	return &schema.GetResponse{
+		Revision:      configuration.Revision,
+		Configuration: translator.DocumentMessage(&configuration.Document),
 	}, nil
 }
 
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -48,7 +48,6 @@
 type peer struct {
 	failures   int
 	mismatches int
-	revision   uint64
 	// behind is set while the member has an older configuration: it may not know this node.
 	behind   bool
 	syncedAt time.Time
@@ -256,7 +255,6 @@
 		return err
 	}
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
-	o.setRevision(m.Name, response.GetRevision())
 	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
 		o.options.Controller.Do(controller.Learn{Members: members})
 	}
@@ -283,33 +281,19 @@
 		Digest:   view.Digest,
 		News:     translator.MemberMessages(news),
 		Wall:     uint64(o.options.Now().UnixNano()),
-		Changes:  translator.ChangeMessages(lacking(view.Recent, o.revision(to))),
 	}
 }
 
-// lacking returns the changes above a peer's revision.
-func lacking(changes []eelgrasspoint.Change, revision uint64) []eelgrasspoint.Change {
-	for i, change := range changes {
-		if change.Revision > revision {
-			return changes[i:]
-		}
-	}
-	return nil
-}
-
-// Pull fetches the changes that this node lacks from a member.
+// Pull fetches the configuration that a member has if its revision is above another.
 func (o *Observer) Pull(ctx context.Context, m eelgrasspoint.Member, after uint64) {
-	o.options.Meter.Exchange("Changes")
-	response, err := o.client(m).Changes(ctx, &schema.ChangesRequest{AfterRevision: after})
-	if err != nil {
+	o.options.Meter.Exchange("Configuration")
+	response, err := o.client(m).Configuration(ctx, &schema.ConfigurationRequest{AfterRevision: after})
+	if err != nil || response.GetConfiguration() == nil {
 		return
 	}
-	if response.GetSnapshot() != nil {
-		o.options.Controller.Do(controller.Replace{Configuration: eelgrasspoint.Configuration{
-			Revision: response.GetSnapshotRevision(), Document: translator.Document(response.GetSnapshot()),
-		}})
-	}
-	o.options.Controller.Do(controller.Adopt{Changes: translator.Changes(response.GetChanges())})
+	o.options.Controller.Do(controller.Replace{Configuration: eelgrasspoint.Configuration{
+		Revision: response.GetRevision(), Document: translator.Document(response.GetConfiguration()),
+	}})
 }
 
 // compareDigest repairs views that stay different after the news is out.
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -33,18 +33,6 @@
 	o.peer(name).mismatches = n
 }
 
-func (o *Observer) revision(name string) uint64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.peer(name).revision
-}
-
-func (o *Observer) setRevision(name string, revision uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.peer(name).revision = revision
-}
-
 // syncDue counts a mismatch and reports whether it has lasted long enough to be repaired.
 func (o *Observer) syncDue(name string, mismatches int, interval time.Duration) bool {
 	o.mu.Lock()
--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -55,9 +55,7 @@
 		}, nil
 	}
 	revision, err := o.options.Committer.Commit(ctx, committer.Proposal{
-		Change: eelgrasspoint.Change{
-			ChangeID: id, Put: translator.Document(request.GetPut()), Remove: translator.Removal(request.GetRemove()),
-		},
+		ChangeID: id, Put: translator.Document(request.GetPut()), Remove: translator.Removal(request.GetRemove()),
 		ExpectedRevision: request.GetExpectedRevision(),
 		Force:            request.GetForce(),
 		DryRun:           request.GetDryRun(),
--- a/platform.go
+++ b/platform.go
@@ -35,9 +35,3 @@
 	Scan(ctx context.Context, prefix string) ([]Row, error)
 	Commit(ctx context.Context, transaction Transaction) error
 }
-
-// ObjectStore is the platform's object store, with the errors of Table.
-type ObjectStore interface {
-	Get(ctx context.Context, key string) (Row, error)
-	Put(ctx context.Context, key string, value []byte, version uint64) error
-}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
-	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/schema"
@@ -117,36 +116,6 @@
 	}
 }
 
-// RemovalMessage returns the message of a removal.
-func RemovalMessage(r *eelgrasspoint.Removal) *schema.Removal {
-	return &schema.Removal{
-		Regions: r.Regions, AvailabilityZones: r.AvailabilityZones, Services: r.Services,
-		Routes: r.Routes, Clients: r.Clients, Budgets: r.Budgets,
-	}
-}
-
-// Change returns the change of a message.
-func Change(m *schema.Change) eelgrasspoint.Change {
-	return eelgrasspoint.Change{
-		Revision: m.GetRevision(), ChangeID: m.GetChangeId(), Put: Document(m.GetPut()),
-		Remove: Removal(m.GetRemove()), CommittedAt: m.GetCommittedAt().AsTime(), CommittedBy: m.GetCommittedBy(),
-	}
-}
-
-// Changes returns the changes of messages.
-func Changes(list []*schema.Change) []eelgrasspoint.Change { return each(list, Change) }
-
-// ChangeMessage returns the message of a change.
-func ChangeMessage(c eelgrasspoint.Change) *schema.Change {
-	return &schema.Change{
-		Revision: c.Revision, ChangeId: c.ChangeID, Put: DocumentMessage(&c.Put),
-		Remove: RemovalMessage(&c.Remove), CommittedAt: timestamppb.New(c.CommittedAt), CommittedBy: c.CommittedBy,
-	}
-}
-
-// ChangeMessages returns the messages of changes.
-func ChangeMessages(list []eelgrasspoint.Change) []*schema.Change { return each(list, ChangeMessage) }
-
 // Member returns the member of a message. A peer address that does not parse makes it invalid.
 func Member(m *schema.Member) (eelgrasspoint.Member, error) {
 	address, err := netip.ParseAddrPort(m.GetPeerAddress())
--- a/runner/platform.go
+++ b/runner/platform.go
@@ -28,9 +28,6 @@
 		r.askPeers(ctx)
 		written := r.writeRow(ctx) == nil
 		scanned := written && r.scanMembers(ctx)
-		if r.options.Source == nil {
-			r.catchUp(ctx)
-		}
 		r.askMembers(ctx)
 		if scanned {
 			break
@@ -83,7 +80,7 @@
 
 // scanMembers learns the rows that other nodes wrote. A row that does not parse is left out.
 func (r *Runner) scanMembers(ctx context.Context) bool {
-	rows, err := r.historian.Members(ctx, memberPrefix)
+	rows, err := r.table.Scan(ctx, memberPrefix)
 	if err != nil {
 		r.storeDown(ctx, err)
 		return false
@@ -114,13 +111,20 @@
 	if err != nil {
 		return err
 	}
-	err = r.historian.PutMember(ctx, memberPrefix+r.settings.Name, value)
+	err = r.writeMember(ctx, eelgrasspoint.Write{Key: r.rowKey(), Value: value})
 	if err != nil {
 		r.storeDown(ctx, err)
 	}
 	return err
 }
 
+// writeMember changes the node's own row, which nobody else writes while the node lives.
+func (r *Runner) writeMember(ctx context.Context, write eelgrasspoint.Write) error {
+	return r.table.Commit(ctx, eelgrasspoint.Transaction{Writes: []eelgrasspoint.Write{write}})
+}
+
+func (r *Runner) rowKey() string { return memberPrefix + r.settings.Name }
+
 // keepRow renews the node's row at long intervals, so that rows of nodes that are gone can
 // be told by their age.
 func (r *Runner) keepRow(ctx context.Context) {
@@ -146,7 +150,7 @@
 	if first != r.settings.Name {
 		return
 	}
-	rows, err := r.historian.Members(ctx, memberPrefix)
+	rows, err := r.table.Scan(ctx, memberPrefix)
 	if err != nil {
 		r.storeDown(ctx, err)
 		return
@@ -155,44 +159,16 @@
 		if !gone[strings.TrimPrefix(row.Key, memberPrefix)] {
 			continue
 		}
-		if err := r.historian.DeleteRow(ctx, row); err != nil {
+		err := r.table.Commit(ctx, eelgrasspoint.Transaction{
+			Conditions: []eelgrasspoint.Condition{{Key: row.Key, Version: row.Version}},
+			Writes:     []eelgrasspoint.Write{{Key: row.Key, Delete: true}},
+		})
+		if err != nil {
 			r.record(eelgrasspoint.EventRowKept, row.Key+": "+err.Error())
 		}
 	}
 }
 
-// poll is the safety net under the news from peers.
-func (r *Runner) poll(ctx context.Context) {
-	for ctx.Err() == nil {
-		r.sleep(ctx, eelgrasspoint.PollInterval)
-		r.catchUp(ctx)
-	}
-}
-
-// catchUp puts the newest committed revision in force. A stale read changes nothing.
-func (r *Runner) catchUp(ctx context.Context) {
-	head, err := r.historian.Head(ctx)
-	if err != nil {
-		r.storeDown(ctx, err)
-		return
-	}
-	r.storeBack()
-	own := *r.controller.Configuration()
-	if head.Revision <= own.Revision {
-		return
-	}
-	configuration, changes, replaced, err := r.historian.Load(ctx, own, head)
-	if err != nil {
-		r.storeDown(ctx, err)
-		return
-	}
-	if replaced {
-		r.controller.Do(controller.Replace{Configuration: configuration})
-		return
-	}
-	r.controller.Do(controller.Adopt{Changes: changes})
-}
-
 func (r *Runner) storeDown(ctx context.Context, err error) {
 	if ctx.Err() == nil && !r.storeIsDown.Swap(true) {
 		r.record(eelgrasspoint.EventStoreDown, err.Error())
@@ -205,7 +181,7 @@
 	}
 }
 
-// pull fetches what this node lacks from a peer that has more.
+// pull fetches the configuration from a peer that has a newer one.
 func (r *Runner) pull(m eelgrasspoint.Member, after uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.HeartbeatTimeout)
 	defer cancel()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,10 +31,10 @@
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/budgeter"
-	"eelgrasspoint/state/historian"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/meter"
+	"eelgrasspoint/state/publisher"
 	"eelgrasspoint/state/recorder"
 	"eelgrasspoint/transport/answerer"
 	"eelgrasspoint/transport/caller"
@@ -54,7 +54,8 @@
 	executor   *executor.Executor
 	controller *controller.Controller
 	observer   *observer.Observer
-	historian  *historian.Historian
+	table      eelgrasspoint.Table
+	source     eelgrasspoint.Source
 	committer  *committer.Committer
 	link       *budgeter.Budgeter
 	measuring  *budgeter.Budgeter
@@ -72,7 +73,7 @@
 // Options are what a node is given from outside, so that a test can give something else.
 type Options struct {
 	Settings *loader.Settings
-	Table    func(count func(call, result string)) (eelgrasspoint.Table, eelgrasspoint.ObjectStore)
+	Table    func(count func(call, result string)) eelgrasspoint.Table
 	Dial     dialer.Func
 	Listen   func(network, address string) (net.Listener, error)
 	Log      logrus.FieldLogger
@@ -80,8 +81,8 @@
 	Seed     uint64
 	Chooser  eelgrasspoint.Chooser
 	Limiter  eelgrasspoint.Limiter
-	// Source publishes the configuration; without it, operators change it by calls.
-	Source eelgrasspoint.Source
+	// Source publishes the configuration; without it, operators change a row of the table by calls.
+	Source func(count func(call, result string)) eelgrasspoint.Source
 	// Contract is the one with callers and backend servers; the default is the project's own.
 	Contract eelgrasspoint.Contract
 	// TellsLoad is set if backend servers tell their load beside their answers.
@@ -99,7 +100,7 @@
 //	     caller -> (peers) -> answerer
 //
 //	backend server -> announcer -> controller <- observer, exchanger <- peers
-//	operators      -> operator -> committer -> historian -> platform
+//	operators      -> operator -> committer -> publisher -> platform
 //	                  controller -> holder -> forwarder, executor, answerer
 func New(options Options) *Runner {
 	if options.Contract == nil {
@@ -153,11 +154,13 @@
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.client, Recorder: r.recorder,
 		Witness: r.recorder.Witness, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.Refresh,
 	})
-	table, objects := r.options.Table(r.meter.StoreCall)
-	r.historian = historian.New(table, objects)
-	r.committer = committer.New(committer.Options{
-		Node: r.settings.Name, Controller: r.controller, Historian: r.historian, Recorder: r.recorder, Clock: clock,
-	})
+	r.table = r.options.Table(r.meter.StoreCall)
+	rows := publisher.New(r.table)
+	r.source = &polledSource{publisher: rows, sleep: r.sleep}
+	if r.options.Source != nil {
+		r.source = r.options.Source(r.meter.StoreCall)
+	}
+	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rows, Recorder: r.recorder})
 }
 
 func (r *Runner) buildServers() servers {
@@ -201,12 +204,8 @@
 	go r.controller.Run(background)
 	go r.observer.Run(background)
 	go r.join(background)
-	if r.options.Source != nil {
-		go r.follow(background)
-		go r.greet(background)
-	} else {
-		go r.poll(background)
-	}
+	go r.follow(background)
+	go r.greet(background)
 	failed := r.servers.serve()
 	select {
 	case err := <-failed:
--- a/runner/source.go
+++ b/runner/source.go
@@ -9,6 +9,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/state/publisher"
 )
 
 // Pauses between tries to reach the source of the configuration.
@@ -17,11 +18,29 @@
 	maxSourceRetry = time.Second
 )
 
+// polledSource reads the row that operators change by calls. News from peers is faster; the
+// pause between two reads bounds what is missed where it did not arrive.
+type polledSource struct {
+	publisher *publisher.Publisher
+	sleep     func(ctx context.Context, interval time.Duration)
+	read      bool
+}
+
+// Next implements eelgrasspoint.Source.
+func (s *polledSource) Next(ctx context.Context) (eelgrasspoint.Configuration, error) {
+	if s.read {
+		s.sleep(ctx, eelgrasspoint.PollInterval)
+	}
+	published, err := s.publisher.Read(ctx)
+	s.read = s.read || err == nil
+	return published.Configuration, err
+}
+
 // follow puts each published configuration in force.
 func (r *Runner) follow(ctx context.Context) {
 	pause := minSourceRetry
 	for ctx.Err() == nil {
-		configuration, err := r.options.Source.Next(ctx)
+		configuration, err := r.source.Next(ctx)
 		var invalid *eelgrasspoint.InvalidError
 		switch {
 		case errors.As(err, &invalid):
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -32,7 +32,7 @@
 
 // deleteRow is best effort: the row of a node that is gone is removed by others later.
 func (r *Runner) deleteRow(ctx context.Context) {
-	if err := r.historian.DeleteMember(ctx, memberPrefix+r.settings.Name); err != nil {
+	if err := r.writeMember(ctx, eelgrasspoint.Write{Key: r.rowKey(), Delete: true}); err != nil {
 		r.storeDown(ctx, err)
 	}
 }
--- a/standin/cmd/platform/main.go
+++ b/standin/cmd/platform/main.go
@@ -1,4 +1,4 @@
-// Command platform runs the stand-in of the table service and object store.
+// Command platform runs the stand-in of the table service.
 package main
 
 import (
--- a/state/memorizer/memorizer.go
+++ b/state/memorizer/memorizer.go
@@ -1,4 +1,4 @@
-// Package memorizer is a table service and object store in memory, for a node by itself.
+// Package memorizer is a table service in memory, for a node by itself.
 package memorizer
 
 import (
@@ -17,13 +17,7 @@
 	next uint64
 }
 
-var (
-	_ eelgrasspoint.Table       = (*Memorizer)(nil)
-	_ eelgrasspoint.ObjectStore = (*Memorizer)(nil)
-)
-
-// objectPrefix keeps objects apart from rows.
-const objectPrefix = "object:"
+var _ eelgrasspoint.Table = (*Memorizer)(nil)
 
 // New returns an empty memorizer.
 func New() *Memorizer { return &Memorizer{rows: make(map[string]eelgrasspoint.Row)} }
@@ -68,20 +62,6 @@
 	return nil
 }
 
-// Get returns an object.
-func (m *Memorizer) Get(ctx context.Context, key string) (eelgrasspoint.Row, error) {
-	return m.Read(ctx, objectPrefix+key)
-}
-
-// Put sets an object that is at the version.
-func (m *Memorizer) Put(ctx context.Context, key string, value []byte, version uint64) error {
-	key = objectPrefix + key
-	return m.Commit(ctx, eelgrasspoint.Transaction{
-		Conditions: []eelgrasspoint.Condition{{Key: key, Version: version}},
-		Writes:     []eelgrasspoint.Write{{Key: key, Value: value}},
-	})
-}
-
 func (m *Memorizer) write(write eelgrasspoint.Write) {
 	if write.Delete {
 		delete(m.rows, write.Key)
--- a/state/tablecaller/tablecaller.go
+++ b/state/tablecaller/tablecaller.go
@@ -1,4 +1,4 @@
-// Package tablecaller calls the platform's table service and object store over HTTP with
+// Package tablecaller calls the platform's table service over HTTP with
 // entity tags and preconditions (RFC 9110).
 package tablecaller
 
@@ -27,10 +27,7 @@
 	count  func(call, result string)
 }
 
-var (
-	_ eelgrasspoint.Table       = (*TableCaller)(nil)
-	_ eelgrasspoint.ObjectStore = (*TableCaller)(nil)
-)
+var _ eelgrasspoint.Table = (*TableCaller)(nil)
 
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 16 << 20
@@ -42,17 +39,19 @@
 
 // Read returns a row.
 func (t *TableCaller) Read(ctx context.Context, key string) (eelgrasspoint.Row, error) {
-	return t.get(ctx, "Read", "/table/", key)
-}
-
-// Get returns an object.
-func (t *TableCaller) Get(ctx context.Context, key string) (eelgrasspoint.Row, error) {
-	return t.get(ctx, "Get", "/objects/", key)
+	answer := t.call(ctx, "Read", http.MethodGet, "/table/"+url.PathEscape(key), nil)
+	switch {
+	case answer.status == http.StatusNotFound:
+		return eelgrasspoint.Row{}, &eelgrasspoint.NotFoundError{Key: key}
+	case answer.err != nil:
+		return eelgrasspoint.Row{}, &eelgrasspoint.UnavailableError{Call: "Read", Cause: answer.err}
+	}
+	return eelgrasspoint.Row{Key: key, Version: answer.version, Value: answer.body}, nil
 }
 
 // Scan returns the rows with the prefix, sorted by key.
 func (t *TableCaller) Scan(ctx context.Context, prefix string) ([]eelgrasspoint.Row, error) {
-	answer := t.call(ctx, "Scan", http.MethodGet, "/table?prefix="+url.QueryEscape(prefix), nil, nil)
+	answer := t.call(ctx, "Scan", http.MethodGet, "/table?prefix="+url.QueryEscape(prefix), nil)
 	if answer.err != nil {
 		return nil, &eelgrasspoint.UnavailableError{Call: "Scan", Cause: answer.err}
 	}
@@ -69,28 +68,7 @@
 	if err != nil {
 		return &eelgrasspoint.UnavailableError{Call: "Commit", Cause: err}
 	}
-	return t.call(ctx, "Commit", http.MethodPost, "/transactions", nil, body).writeError("Commit", "")
-}
-
-// Put sets an object that is at the version.
-func (t *TableCaller) Put(ctx context.Context, key string, value []byte, version uint64) error {
-	header := http.Header{"If-None-Match": {"*"}}
-	if version > 0 {
-		header = http.Header{"If-Match": {tag(version)}}
-	}
-	answer := t.call(ctx, "Put", http.MethodPut, "/objects/"+url.PathEscape(key), header, value)
-	return answer.writeError("Put", key)
-}
-
-func (t *TableCaller) get(ctx context.Context, call, path, key string) (eelgrasspoint.Row, error) {
-	answer := t.call(ctx, call, http.MethodGet, path+url.PathEscape(key), nil, nil)
-	switch {
-	case answer.status == http.StatusNotFound:
-		return eelgrasspoint.Row{}, &eelgrasspoint.NotFoundError{Key: key}
-	case answer.err != nil:
-		return eelgrasspoint.Row{}, &eelgrasspoint.UnavailableError{Call: call, Cause: answer.err}
-	}
-	return eelgrasspoint.Row{Key: key, Version: answer.version, Value: answer.body}, nil
+	return t.call(ctx, "Commit", http.MethodPost, "/transactions", body).writeError()
 }
 
 // answer is what came of one call.
@@ -104,23 +82,23 @@
 }
 
 // writeError says what is known of a write: a lost answer is neither a success nor a failure.
-func (a answer) writeError(call, key string) error {
+func (a answer) writeError() error {
 	switch {
 	case a.err == nil:
 		return nil
 	case a.status == http.StatusPreconditionFailed:
-		conflict := &eelgrasspoint.ConflictError{Key: key, Version: a.version}
+		conflict := &eelgrasspoint.ConflictError{}
 		_ = json.Unmarshal(a.body, conflict)
 		return conflict
 	case !a.connected || a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
-		return &eelgrasspoint.UnavailableError{Call: call, Cause: a.err}
+		return &eelgrasspoint.UnavailableError{Call: "Commit", Cause: a.err}
 	default:
 		return &eelgrasspoint.UnknownOutcomeError{Cause: a.err}
 	}
 }
 
 // call makes one request within the time limit of the platform.
-func (t *TableCaller) call(ctx context.Context, name, method, path string, header http.Header, body []byte) answer {
+func (t *TableCaller) call(ctx context.Context, name, method, path string, body []byte) answer {
 	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.StoreTimeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -129,9 +107,6 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
 	if body != nil {
 		// Without GetBody net/http does not send a write again by itself.
 		request.Body = io.NopCloser(bytes.NewReader(body))
@@ -175,8 +150,6 @@
 	}
 }
 
-func tag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
-
 func version(tag string) uint64 {
 	n, _ := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
 	return n
--- a/view.go
+++ b/view.go
@@ -11,10 +11,6 @@
 	Revision uint64
 	// Observed are the members that the node sends its heartbeats to.
 	Observed []Member
-	// Recent are the last changes, to be pushed to peers that may lack them.
-	Recent []Change
-	// History are the changes that lead up to the revision, as far as they are kept.
-	History []Change
 }
 
 // NewsAt returns the news for one message. If there is more than a message takes, the part
