Bodies above 16 KB wait until the exit node has admitted their request

Its calls to celeiro ended TimedOut at entry nodes (445 in 10 s) while the exit nodes named in them had logged only 37: the links of those VMs (10 Mbit/s) were full. Bodies up to 64 KB went out with every attempt, and each upload was refused 2.7 times on average, so every upload was sent almost four times. Ruled out: slow backend servers (InUse and Slowness usual where attempts got through), nodes cut off (the time-outs went on for 10 s after the cut healed). TestRefusalCostsNoBody was red before: 184,709 bytes for three refusals of a body of 61,440. A body of up to 16 KB still goes at once, since the wait costs a round trip, 40 ms to the other region.

--- a/constants.go
+++ b/constants.go
@@ -31,9 +31,11 @@
 
 // Limits of one request.
 const (
-	MaxHeaderBytes       = 64 << 10
-	MaxReplayBytes       = 64 << 10
-	MaxReplayTotalBytes  = 8 << 20
+	MaxHeaderBytes      = 64 << 10
+	MaxReplayBytes      = 64 << 10
+	MaxReplayTotalBytes = 8 << 20
+	// MaxUnaskedBytes is the longest body that goes out before the exit node has admitted it.
+	MaxUnaskedBytes      = 16 << 10
 	MaxDepth             = 16
 	MaxRequestIDBytes    = 128
 	MaxAttempts          = 4
