A fault soak: real nodes as processes, disturbed from outside by a seeded schedule

What it is: standin/soak starts eelgrassd processes with backend servers, a store and callers in its own process, and a relay (standin/link) before each node, backend server and store that delays, holds back one way, silences and resets. SIGTERM, SIGHUP, SIGSTOP, SIGKILL and restarts overlap; backend servers start with clocks that are off. It checks all the while: at most once, not run, own answers, home regions, zones out, departures, configuration, revisions, time limit, no cut requests, planned stops, service in calm times, recovery. AdvertisedAddress is a new setting: where other nodes reach PeerAddress, so that a relay (or an address translator) can stand before a node.

--- a/runner/platform.go
+++ b/runner/platform.go
@@ -42,7 +42,7 @@
 // askPeers syncs with the nodes of the settings.
 func (r *Runner) askPeers(ctx context.Context) {
 	for _, address := range r.settings.Peers {
-		if address == r.settings.PeerAddress {
+		if address == r.settings.AdvertisedAddress {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -144,7 +144,7 @@
 	r.controller = controller.New(controller.Options{
 		Self: eelgrasspoint.Member{
 			Name: r.settings.Name, Region: r.settings.Region, AvailabilityZone: r.settings.AvailabilityZone,
-			PeerAddress: r.settings.PeerAddress, Incarnation: uint64(clock().UnixNano()),
+			PeerAddress: r.settings.AdvertisedAddress, Incarnation: uint64(clock().UnixNano()),
 		},
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
--- a/standin/backend/announce.go
+++ b/standin/backend/announce.go
@@ -34,20 +34,23 @@
 	}
 }
 
-// Leave tells the node that the backend server takes no more work.
-func Leave(client *http.Client, control netip.AddrPort) {
-	call(context.Background(), client, http.MethodDelete, control, nil)
+// Leave tells the node that the backend server takes no more work, and reports whether it took it in.
+func Leave(client *http.Client, control netip.AddrPort) bool {
+	return call(context.Background(), client, http.MethodDelete, control, nil)
 }
 
-func call(ctx context.Context, client *http.Client, method string, control netip.AddrPort, body []byte) {
+func call(ctx context.Context, client *http.Client, method string, control netip.AddrPort, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	url := "http://" + control.String() + "/backend-server"
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return
+		return false
 	}
-	if response, err := client.Do(request); err == nil {
-		_ = response.Body.Close()
+	response, err := client.Do(request)
+	if err != nil {
+		return false
 	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusNoContent
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -49,6 +49,8 @@
 	settings       string
 	slots          int
 	backendTime    time.Duration
+	advertised     netip.AddrPort
+	stopTimeout    time.Duration
 }
 
 // Spec says what a node is to be.
@@ -61,6 +63,10 @@
 	ServiceTime time.Duration
 	// WithoutBackend leaves the backend server out.
 	WithoutBackend bool
+	// Advertised is where other nodes reach the node, if not at the address that it listens on.
+	Advertised netip.AddrPort
+	// StopTimeout is the time that the node has to stop, or zero for its default.
+	StopTimeout time.Duration
 }
 
 // New returns a cluster that runs the programs in bin and keeps its files in dir.
@@ -81,7 +87,7 @@
 func (c *Cluster) StartNode(spec Spec, platform netip.AddrPort, peers []netip.AddrPort) (*Node, error) {
 	n := &Node{
 		Name: spec.Name, Region: spec.Region, Zone: spec.Zone, Service: spec.Service,
-		slots: spec.Slots, backendTime: spec.ServiceTime,
+		slots: spec.Slots, backendTime: spec.ServiceTime, advertised: spec.Advertised, stopTimeout: spec.StopTimeout,
 	}
 	for _, address := range []*netip.AddrPort{&n.Callers, &n.Peers, &n.Control, &n.BackendAddress, &n.BackendControl} {
 		var err error
@@ -221,6 +227,12 @@
 		"Name": n.Name, "Region": n.Region, "AvailabilityZone": n.Zone,
 		"CallerAddress": n.Callers, "PeerAddress": n.Peers, "ControlAddress": n.Control, "Peers": peers,
 	}
+	if n.advertised.IsValid() {
+		settings["AdvertisedAddress"] = n.advertised
+	}
+	if n.stopTimeout > 0 {
+		settings["StopTimeout"] = n.stopTimeout.String()
+	}
 	if platform.IsValid() {
 		settings["Platform"] = platform
 		settings["PlatformRegion"] = c.platformRegion(n)
--- /dev/null
+++ b/standin/cmd/soak/main.go
@@ -0,0 +1,70 @@
+// Command soak plays seeds of random faults on real processes and prints what broke a promise.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"eelgrasspoint/standin/soak"
+)
+
+func main() {
+	bin, dir, seed, seeds := "bin", "", 1, 1
+	options := soak.Options{Nodes: 12, Duration: 30 * time.Second, Rate: 20, Log: os.Stdout}
+	flaggy.String(&bin, "b", "bin", "folder of the programs")
+	flaggy.String(&dir, "d", "dir", "folder for settings and logs; a temporary one if empty")
+	flaggy.Int(&seed, "s", "seed", "first seed")
+	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
+	flaggy.Int(&options.Nodes, "", "nodes", "number of nodes")
+	flaggy.Duration(&options.Duration, "t", "time", "how long faults are injected, for each seed")
+	flaggy.Int(&options.Rate, "r", "rate", "requests a second to each node")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	options.Bin = bin
+	failed := 0
+	for i := 0; i < seeds && ctx.Err() == nil; i++ {
+		options.Seed = uint64(seed + i)
+		failed += play(ctx, options, dir)
+	}
+	fmt.Printf("%d passed, %d failed\n", seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1) //nolint:gocritic // Nothing is left to be stopped.
+	}
+}
+
+// play runs one seed and returns one if it failed.
+func play(ctx context.Context, options soak.Options, dir string) int {
+	if dir == "" {
+		temporary, err := os.MkdirTemp("", "eelgrass-soak")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			return 1
+		}
+		defer os.RemoveAll(temporary)
+		dir = temporary
+	}
+	options.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", options.Seed))
+	if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return 1
+	}
+	report, err := soak.Run(ctx, options)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return 1
+	}
+	fmt.Printf("seed %d: %d requests, %d answered, %d not run, %d failed, %d without an answer, %d promises broken\n",
+		options.Seed, report.Requests, report.Answered, report.NotRun, report.Failed, report.Broken, len(report.Violations))
+	for _, violation := range report.Violations {
+		fmt.Println("  " + violation)
+	}
+	return min(1, len(report.Violations))
+}
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,198 @@
+// Package link is a TCP relay on loopback that delays, holds back, silences and resets what
+// passes, so that a test can disturb the connections of real processes from outside.
+package link
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Link relays connections to its target. It is safe for concurrent use.
+type Link struct {
+	listener net.Listener
+	ended    chan struct{}
+
+	mu     sync.Mutex
+	target netip.AddrPort
+	delay  time.Duration
+	cut    Cut
+	pairs  map[*pair]struct{}
+}
+
+// Cut holds back bytes by direction, without closing anything.
+type Cut struct{ ToTarget, FromTarget bool }
+
+// pair is one relayed connection.
+type pair struct {
+	caller, target net.Conn
+	// silent is set once nothing more is to pass.
+	silent bool
+}
+
+// Bounds of a link.
+const (
+	bufferBytes = 32 << 10
+	// holdInterval is how often a direction that is held back looks whether it may go on.
+	holdInterval   = 5 * time.Millisecond
+	connectTimeout = time.Second
+)
+
+// New returns a link that listens on a loopback port and has no target so far.
+func New() (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{listener: listener, ended: make(chan struct{}), pairs: make(map[*pair]struct{})}
+	go l.accept()
+	return l, nil
+}
+
+// Address is where the link listens.
+func (l *Link) Address() netip.AddrPort { return netip.MustParseAddrPort(l.listener.Addr().String()) }
+
+// SetTarget tells where connections that come later go.
+func (l *Link) SetTarget(target netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
+// SetDelay holds all bytes for the time, each way.
+func (l *Link) SetDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// SetCut holds bytes back until it is lifted; then they go on.
+func (l *Link) SetCut(cut Cut) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+// Silence lets nothing more pass on the connections that are open now; new ones work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.silent = true
+	}
+}
+
+// Reset resets the connections that are open now.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.reset()
+	}
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() {
+	close(l.ended)
+	_ = l.listener.Close()
+	l.Reset()
+}
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.relay(conn)
+	}
+}
+
+func (l *Link) relay(caller net.Conn) {
+	l.mu.Lock()
+	address := l.target
+	l.mu.Unlock()
+	target, err := net.DialTimeout("tcp", address.String(), connectTimeout)
+	if err != nil {
+		abort(caller)
+		return
+	}
+	p := &pair{caller: caller, target: target}
+	l.mu.Lock()
+	l.pairs[p] = struct{}{}
+	l.mu.Unlock()
+	var group sync.WaitGroup
+	group.Go(func() { l.copy(p, target, caller, func(c Cut) bool { return c.ToTarget }) })
+	group.Go(func() { l.copy(p, caller, target, func(c Cut) bool { return c.FromTarget }) })
+	group.Wait()
+	l.mu.Lock()
+	delete(l.pairs, p)
+	l.mu.Unlock()
+	_ = caller.Close()
+	_ = target.Close()
+}
+
+// copy relays one direction to its end.
+func (l *Link) copy(p *pair, to, from net.Conn, held func(Cut) bool) {
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !l.pass(p, held) {
+				return
+			}
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				p.reset()
+				return
+			}
+		}
+		if err != nil {
+			l.pass(p, held)
+			closeWrite(to)
+			return
+		}
+	}
+}
+
+// pass waits until bytes may go on, and reports whether they may at all.
+func (l *Link) pass(p *pair, held func(Cut) bool) bool {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	for {
+		l.mu.Lock()
+		wait := p.silent || held(l.cut)
+		l.mu.Unlock()
+		if !wait {
+			return true
+		}
+		select {
+		case <-l.ended:
+			return false
+		case <-time.After(holdInterval):
+		}
+	}
+}
+
+func (p *pair) reset() {
+	abort(p.caller)
+	abort(p.target)
+}
+
+// abort closes a connection with a reset in place of an orderly end.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,47 @@
+package soak_test
+
+import (
+	"os/exec"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint/standin/soak"
+)
+
+// seeds are played in every run of the tests: one with planned work only, one with all faults,
+// and each that ever failed, with its cause.
+var seeds = []struct {
+	seed     uint64
+	nodes    int
+	duration time.Duration
+	cause    string
+}{
+	{seed: 4, nodes: 12, duration: 8 * time.Second, cause: "planned work only"},
+	{seed: 3, nodes: 12, duration: 10 * time.Second, cause: "all faults"},
+}
+
+func TestSeeds(t *testing.T) {
+	bin := t.TempDir()
+	output, err := exec.Command("go", "build", "-o", bin+"/", "eelgrasspoint/cmd/eelgrassd").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	for _, s := range seeds {
+		t.Run(s.cause, func(t *testing.T) {
+			report, err := soak.Run(t.Context(), soak.Options{
+				Bin: bin, Dir: t.TempDir(), Seed: s.seed, Nodes: s.nodes, Duration: s.duration, Rate: 10, Log: t.Output(),
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
+			assert.Assert(t, report.Answered > 0)
+		})
+	}
+}
+
+// TestScheduleIsOfItsSeed shows that a seed gives the same events again, and another one others.
+func TestScheduleIsOfItsSeed(t *testing.T) {
+	first := soak.Schedule(3, time.Minute, 12)
+	assert.DeepEqual(t, soak.Schedule(3, time.Minute, 12), first)
+	assert.Assert(t, len(first) > 20)
+	assert.Assert(t, len(soak.Schedule(5, time.Minute, 12)) != len(first) || soak.Schedule(5, time.Minute, 12)[0] != first[0])
+}
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -29,6 +29,8 @@
 	CallerAddress  netip.AddrPort
 	PeerAddress    netip.AddrPort
 	ControlAddress netip.AddrPort
+	// AdvertisedAddress is where other nodes reach PeerAddress, if they don't reach it there.
+	AdvertisedAddress netip.AddrPort
 	// Platform is the address of the table service and object store; without it the node
 	// keeps its configuration in memory only.
 	Platform netip.AddrPort
@@ -100,6 +102,9 @@
 		mistakes = append(mistakes, eelgrasspoint.Mistakes(err)...)
 	}
 	mistakes = append(mistakes, withoutRepeats(settings.check(), mistakes)...)
+	if !settings.AdvertisedAddress.IsValid() {
+		settings.AdvertisedAddress = settings.PeerAddress
+	}
 	if len(mistakes) > 0 {
 		slices.SortStableFunc(mistakes, func(a, b eelgrasspoint.Mistake) int { return strings.Compare(a.Path, b.Path) })
 		return nil, &eelgrasspoint.InvalidError{Mistakes: mistakes}
