The last slots are given up where runs in them take longer

So some backend servers do less work when nearly full, others don't. Runs count now only if the backend server said just before that work takes as long as usual.

--- a/constants.go
+++ b/constants.go
@@ -81,7 +81,7 @@
 	// FastShare is the part of its slots that a backend server works in at full speed.
 	FastShare = 0.8
 	// QueueShare is the part of its target latency that a request may wait for a slot.
-	QueueShare         = 0.15
+	QueueShare = 0.15
 	MaxQueueWait       = 120 * time.Millisecond
 	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -26,6 +26,7 @@
 	begun time.Duration
 	epoch time.Time
 	cold  cold
+	crowd crowding
 }
 
 // New returns an admitter with an empty queue.
@@ -72,6 +73,7 @@
 	if sample.Succeeded {
 		a.service.learn(sample.Duration, sample.At)
 	}
+	a.crowd.learn(&sample)
 	a.grant()
 	return cold
 }
@@ -82,6 +84,7 @@
 	defer a.mu.Unlock()
 	a.limiter.Reset(slots)
 	a.service = speed{}
+	a.crowd = crowding{}
 	a.grant()
 }
 
@@ -152,14 +155,21 @@
 	return w, time.Time{}, nil
 }
 
-// limitFor leaves the slots in which the backend server is slower to requests that have no
-// other way.
+// limitFor leaves the last slots, in which some backend servers are slower, to requests that have
+// no other way.
 func (a *Admitter) limitFor(meta *eelgrasspoint.Meta) int {
-	limit := a.limiter.Limit()
 	if a.tellsLoad && !meta.Insists {
-		return max(1, int(eelgrasspoint.FastShare*float64(limit)))
+		return FastSlots(a.limiter.Limit())
 	}
-	return limit
+	return a.limit()
+}
+
+// limit is how many requests may run at once: not in the last slots, where they slow down all.
+func (a *Admitter) limit() int {
+	if a.crowd.slows() {
+		return FastSlots(a.limiter.Limit())
+	}
+	return a.limiter.Limit()
 }
 
 func (a *Admitter) take(now time.Time) {
@@ -216,7 +226,7 @@
 // grant hands free slots to the waiters that go first, refusing those that are too late.
 func (a *Admitter) grant() {
 	now := a.clock()
-	for a.queue.Len() > 0 && a.inUse < a.limiter.Limit() && a.cold.admits(now) {
+	for a.queue.Len() > 0 && a.inUse < a.limit() && a.cold.admits(now) {
 		w := a.queue.popBest()
 		if !w.deadline.IsZero() && now.Add(a.service.recent/2).After(w.deadline) {
 			w.verdict <- eelgrasspoint.DeadlinePassed
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -227,9 +227,14 @@
 		e.suspects++
 	}
 	e.runs[r] = struct{}{}
+	r.crowded = len(e.runs) > admitter.FastSlots(int(e.backend.Slots))
+	r.usual = e.freshLoad() && e.load.load.Slowness < usualSlowness
 	return r, nil
 }
 
+// usualSlowness is below what a backend server says when work takes longer than usual.
+const usualSlowness = 1.25
+
 // end gives the slot back. It may be called more than once; the first call counts.
 func (e *Executor) end(r *run, sample eelgrasspoint.Sample) {
 	if !r.ended.CompareAndSwap(false, true) {
@@ -241,6 +246,7 @@
 		e.suspects--
 	}
 	e.mu.Unlock()
+	sample.Route, sample.Usual, sample.Crowded = r.attempt.Meta.Route, r.usual, r.crowded
 	sample.At = e.options.Clock()
 	sample.Admitted = r.began
 	sample.Duration = r.serviceTime(sample.At)
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -60,6 +60,11 @@
 	if path == "" || insists && !e.unknown() {
 		return false
 	}
+	return e.askedSlow(ctx, path) && !insists
+}
+
+// askedSlow asks the backend server how it is, unless that is known, and reports whether it is slow.
+func (e *Executor) askedSlow(ctx context.Context, path string) bool {
 	if done := e.askIfOld(path); done != nil {
 		select {
 		case <-done:
@@ -68,9 +73,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !insists && e.load.load.Slowness >= eelgrasspoint.SlowFactor && e.options.Clock().Sub(e.load.at) <= maxLoadAge
+	return e.freshLoad() && e.load.load.Slowness >= eelgrasspoint.SlowFactor
 }
 
+// freshLoad reports whether what the backend server said last is relied upon. It is called with
+// the lock held.
+func (e *Executor) freshLoad() bool { return e.options.Clock().Sub(e.load.at) <= maxLoadAge }
+
 // unknown reports whether the backend server was not asked yet whether it is cold.
 func (e *Executor) unknown() bool {
 	e.mu.Lock()
@@ -83,7 +92,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.options.Clock()
-	if now.Sub(e.load.at) <= maxLoadAge && now.Sub(e.health.at) <= maxHealthAge {
+	if e.freshLoad() && now.Sub(e.health.at) <= maxHealthAge {
 		return nil
 	}
 	if e.health.running == nil {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -27,9 +27,11 @@
 	epoch     uint64
 	suspect   bool
 	began     time.Time
-	answered  atomic.Int64
-	ended     atomic.Bool
-	bodyRead  atomic.Bool
+	// usual and crowded tell what the backend server was like when the run began.
+	usual, crowded bool
+	answered       atomic.Int64
+	ended          atomic.Bool
+	bodyRead       atomic.Bool
 }
 
 // maxConnects is how often a run may open a connection while nothing was sent.
--- a/limit.go
+++ b/limit.go
@@ -10,6 +10,11 @@
 	Admitted  time.Time
 	InUse     int
 	Succeeded bool
+	Route     string
+	// Usual is set if the backend server said that work takes as long as usual when the run began.
+	Usual bool
+	// Crowded is set if the run began in the last slots.
+	Crowded bool
 	// Shed is set if the backend server said that it has too much work.
 	Shed bool
 	// Refused is set if the backend server refused the connection.
