A request with nowhere else to go waits while the backend server is slow

Ruled out: more redirects in place of waiting (under overload the others are full, not slow). What: with its slot taken, the request asks every 25 ms how slow the backend server is, and begins when it is fast, or after 0.4 of its target latency all the same.

--- a/constants.go
+++ b/constants.go
@@ -82,6 +82,8 @@
 	FastShare = 0.8
 	// QueueShare is the part of its target latency that a request may wait for a slot.
 	QueueShare = 0.15
+	// SlowWaitShare is the part of its target latency that a request may wait for a slow server.
+	SlowWaitShare      = 0.4
 	MaxQueueWait       = 120 * time.Millisecond
 	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
 	}
-	r, err := e.begin(attempt, admitted)
+	r, err := e.start(ctx, attempt, admitted)
 	if err != nil {
 		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admitted, Ignored: true})
 		return nil, err
@@ -204,6 +204,16 @@
 	return nil
 }
 
+// start registers the run, once the backend server is fast if the attempt has nowhere else to go.
+func (e *Executor) start(ctx context.Context, attempt *eelgrasspoint.Attempt, admitted time.Time) (*run, error) {
+	if attempt.Meta.Insists {
+		if err := e.awaitSpeed(ctx, &attempt.Meta); err != nil {
+			return nil, err
+		}
+	}
+	return e.begin(attempt, admitted)
+}
+
 // begin registers the run. A zone or backend server may have left while the attempt waited,
 // so what check saw is looked at again.
 func (e *Executor) begin(attempt *eelgrasspoint.Attempt, admitted time.Time) (*run, error) {
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -80,6 +80,26 @@
 // the lock held.
 func (e *Executor) freshLoad() bool { return e.options.Clock().Sub(e.load.at) <= maxLoadAge }
 
+// awaitSpeed waits while the backend server is slow, for a part of the request's target latency: a
+// run that begins then takes as many times as long to its end.
+func (e *Executor) awaitSpeed(ctx context.Context, meta *eelgrasspoint.Meta) error {
+	path := e.healthPath()
+	if path == "" {
+		return nil
+	}
+	until := e.options.Clock().Add(time.Duration(eelgrasspoint.SlowWaitShare * float64(meta.TargetLatency)))
+	for e.askedSlow(ctx, path) && e.options.Clock().Before(until) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(maxLoadAge):
+		}
+	}
+	if ctx.Err() != nil {
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), "the backend server was slow")
+	}
+	return nil
+}
+
 // unknown reports whether the backend server was not asked yet whether it is cold.
 func (e *Executor) unknown() bool {
 	e.mu.Lock()
