--- a/runner/runner.go
+++ b/runner/runner.go
@@ -303,7 +303,7 @@
 // setColdLimit bounds the rate of requests to the backend server while it is cold.
 func (r *Runner) setColdLimit(document *eelgrasspoint.Document) {
 	if rate := document.Service(r.settings.Service).ColdRate; rate > 0 {
-		r.admitter.SetColdLimit(max(1, int(rate)))
+		r.admitter.SetColdLimit(max(1, int(rate*r.settings.ColdOvershoot)))
 	}
 }
 
--- a/standin/stage/stage.go
+++ b/standin/stage/stage.go
@@ -109,7 +109,7 @@
 	n.Settings = &loader.Settings{
 		Name: n.Name, Cluster: "stage", Region: region, AvailabilityZone: zone,
 		CallerAddress: n.at(callerPort), PeerAddress: n.at(peerPort), AdvertisedAddress: n.at(peerPort), ControlAddress: n.at(controlPort),
-		Platform: s.store, PlatformRegion: s.options.StoreRegion, LogLevel: "debug", MaxBodyBytes: 64 << 20, StopTimeout: 20 * time.Second,
+		Platform: s.store, PlatformRegion: s.options.StoreRegion, LogLevel: "debug", ColdOvershoot: 1, MaxBodyBytes: 64 << 20, StopTimeout: 20 * time.Second,
 	}
 	s.Nodes = append(s.Nodes, n)
 	n.StartNode()
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -57,6 +57,8 @@
 	// DrainTimeout is how long a stopping node goes on taking callers.
 	DrainTimeout time.Duration
 	RetryBudget  RetryBudget
+	// ColdOvershoot is how many times its cold rate a cold backend server may get in a second.
+	ColdOvershoot float64
 }
 
 // RetryBudget bounds the attempts beyond the first of all nodes together, for each service:
@@ -79,6 +81,8 @@
 	defaultLogLevel     = "info"
 	defaultMaxBodyBytes = 256 << 20
 	defaultStopTimeout  = 30 * time.Second
+	// A cold backend server gets what it bears by its own definition.
+	defaultColdOvershoot = 1.0
 )
 
 // Load reads a settings file. Mistakes come as *eelgrasspoint.InvalidError, all at once.
@@ -95,7 +99,7 @@
 	settings := &Settings{
 		Cluster: defaultCluster, LogLevel: defaultLogLevel,
 		MaxBodyBytes: defaultMaxBodyBytes, StopTimeout: defaultStopTimeout,
-		Contract: ContractOwn, AnnouncementTTL: eelgrasspoint.AnnouncementTTL,
+		ColdOvershoot: defaultColdOvershoot, Contract: ContractOwn, AnnouncementTTL: eelgrasspoint.AnnouncementTTL,
 	}
 	var mistakes []eelgrasspoint.Mistake
 	if err := decoder.Decode(data, settings); err != nil {
@@ -152,6 +156,9 @@
 	if s.MaxBodyBytes < 1 {
 		add("MaxBodyBytes", "must be at least 1 (bytes)")
 	}
+	if s.ColdOvershoot < 1 {
+		add("ColdOvershoot", "must be at least 1")
+	}
 	if s.StopTimeout <= 0 {
 		add("StopTimeout", "must be above 0s")
 	}
--- a/state/loader/loader_test.go
+++ b/state/loader/loader_test.go
@@ -17,6 +17,8 @@
 	assert.NilError(t, err)
 	assert.Equal(t, settings.StopTimeout.String(), "5s")
 	assert.Equal(t, settings.Cluster, "eelgrass")
+	assert.Equal(t, settings.ColdOvershoot, 1.0)
+	assert.Equal(t, settings.AdvertisedAddress, settings.PeerAddress)
 }
 
 func TestParseListsEveryMistake(t *testing.T) {
@@ -27,6 +29,7 @@
 		{"empty", `{}`, []string{"AvailabilityZone", "CallerAddress", "ControlAddress", "Name", "PeerAddress", "Region"}},
 		{"unknown and wrong", `{"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "here", "PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "Peers": ["10.0.0.1:1", "x"], "Color": 1, "LogLevel": "loud"}`, []string{"CallerAddress", "Color", "LogLevel", "Peers[1]"}},
 		{"platform without region", `{"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "127.0.0.1:1", "PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "Platform": "127.0.0.1:4"}`, []string{"PlatformRegion"}},
+		{"cold rate cut", `{"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "127.0.0.1:1", "PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "ColdOvershoot": 0.5}`, []string{"ColdOvershoot"}},
 		{"broken", "{\n \"Name\": ,}", []string{"AvailabilityZone", "CallerAddress", "ControlAddress", "Name", "PeerAddress", "Region", "line 2, column 11"}},
 		{"not an object", `[]`, nil},
 	}
