The wait for a slow backend server may take 0.65 of the target latency

Cause: slow moments last 150 ms, so a wait of 0.4 of a short target ended in them; a run that begins there takes five times as long and is late all the same.

--- a/constants.go
+++ b/constants.go
@@ -83,7 +83,7 @@
 	// QueueShare is the part of its target latency that a request may wait for a slot.
 	QueueShare = 0.15
 	// SlowWaitShare is the part of its target latency that a request may wait for a slow server.
-	SlowWaitShare      = 0.4
+	SlowWaitShare      = 0.65
 	MaxQueueWait       = 120 * time.Millisecond
 	MinQueue           = 64
 	SuspectRequestTime = 10 * time.Minute
