Attempts that are dear to move wait at their exit node

A booking of astana is bound to almaty: refused there because the backend server was slow for a moment, it came back over the link and went again, 40 ms and 4 KB for a wait of 75 ms on average. An upload of 60 KB that was refused in its own zone went through another one. What: an attempt to another region, and one with a long body in the own zone, may wait for a slot and for speed from the start, as those that have nowhere else to go. Ruled out: asking before bodies of 4 KB go over the link (40 ms for each booking).

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -28,7 +28,7 @@
 	p.tried = append(p.tried, candidate)
 	meta := p.meta
 	meta.Attempt = p.attempts
-	meta.Insists = p.insisting || !p.forwarder.Retrier.Has(p.meta.Service, retrier.Redirect)
+	meta.Insists = p.insisting || p.dearToMove(candidate) || !p.forwarder.Retrier.Has(p.meta.Service, retrier.Redirect)
 	p.attempts++
 	p.forwarder.Meter.Attempt(meta.Service, meta.Attempt)
 	return meta
--- a/coordination/forwarder/choice.go
+++ b/coordination/forwarder/choice.go
@@ -29,6 +29,17 @@
 	return true
 }
 
+// dearToMove reports whether a wait at the candidate costs less than a refusal and another attempt:
+// over the link to another region, or with a long body that would leave the availability zone.
+func (p *passage) dearToMove(candidate *eelgrasspoint.Candidate) bool {
+	if candidate.Region != p.self.Region {
+		return true
+	}
+	length := p.request.ContentLength
+	long := length < 0 || length > eelgrasspoint.MaxUnaskedBytes
+	return long && candidate.AvailabilityZone == p.self.AvailabilityZone
+}
+
 // choose asks for a candidate as the snapshot of this moment has them: a zone may have left
 // since the request came.
 func (p *passage) choose() *eelgrasspoint.Candidate {
