Settings that may change while a node runs are taken over

What: StopTimeout, DrainTimeout, RetryBudget and ColdOvershoot hold at once; the log line names those that wait for the next start (names, places, addresses, contracts). Before: a stop after a reload kept to the old time.

--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -83,6 +83,13 @@
 	return &Retrier{limits: limits, tokens: make(map[string]*[purposes]float64)}
 }
 
+// SetLimits replaces the limits; what was earned stays, within the new ones.
+func (r *Retrier) SetLimits(limits Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = limits
+}
+
 // Earn adds the shares of one first attempt.
 func (r *Retrier) Earn(service string) {
 	r.mu.Lock()
--- a/runner/reload.go
+++ b/runner/reload.go
@@ -1,14 +1,34 @@
 package runner
 
 import (
+	"fmt"
+	"slices"
+
 	"eelgrasspoint"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/reloader"
 )
 
-// Reload notes changed settings, which hold from the next start.
-func (r *Runner) Reload(_ *loader.Settings, fields []string) {
-	r.record(eelgrasspoint.EventSettingsReloaded, reloader.Describe(fields))
+// reloadable are the settings that a running node takes over. The others name the node, its
+// places, addresses and contracts.
+var reloadable = []string{"StopTimeout", "DrainTimeout", "RetryBudget", "ColdOvershoot"}
+
+// Reload takes over the changed settings that may change while the node runs, and notes the others.
+func (r *Runner) Reload(settings *loader.Settings, fields []string) {
+	r.tunable.Store(settings)
+	r.retrier.SetLimits(r.retryLimits())
+	r.setColdLimit(&r.holder.Load().Configuration.Document)
+	var later []string
+	for _, field := range fields {
+		if !slices.Contains(reloadable, field) {
+			later = append(later, field)
+		}
+	}
+	detail := reloader.Describe(fields)
+	if len(later) > 0 {
+		detail += fmt.Sprintf("; from the next start: %s", reloader.Describe(later))
+	}
+	r.record(eelgrasspoint.EventSettingsReloaded, detail)
 }
 
 // RejectSettings notes a settings file that is wrong; the last settings stay in force.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,8 +43,11 @@
 
 // Runner is one node.
 type Runner struct {
-	options    Options
-	settings   *loader.Settings
+	options  Options
+	settings *loader.Settings
+	// tunable are the newest settings, of which only the reloadable ones may be read.
+	tunable    atomic.Pointer[loader.Settings]
+	retrier    *retrier.Retrier
 	control    *dialer.Dialer
 	holder     *holder.Holder
 	recorder   *recorder.Recorder
@@ -107,6 +110,7 @@
 		options.Contract = parser.New()
 	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
+	r.tunable.Store(r.settings)
 	r.control = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
@@ -130,6 +134,7 @@
 		r.admitter = admitter.NewTold(limit, clock)
 	}
 	r.quarantine = quarantiner.New(clock)
+	r.retrier = retrier.New(r.retryLimits())
 	r.client = &http.Client{Transport: caller.NewTransport(r.control.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantine, Recorder: r.recorder,
@@ -166,7 +171,7 @@
 func (r *Runner) buildServers() servers {
 	return newServers(handlers{
 		callers: forwarder.New(forwarder.Options{
-			Holder: r.holder, Chooser: r.chooser(), Retrier: retrier.New(r.retryLimits()), Link: r.link, Peers: r.peers,
+			Holder: r.holder, Chooser: r.chooser(), Retrier: r.retrier, Link: r.link, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
 			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom, Stopping: r.stopping.Load,
@@ -236,7 +241,7 @@
 
 // retryLimits are those of the settings, or of the project's own contract.
 func (r *Runner) retryLimits() retrier.Limits {
-	budget := r.settings.RetryBudget
+	budget := r.tunable.Load().RetryBudget
 	if budget.Window == 0 {
 		return retrier.DefaultLimits()
 	}
@@ -303,7 +308,7 @@
 // setColdLimit bounds the rate of requests to the backend server while it is cold.
 func (r *Runner) setColdLimit(document *eelgrasspoint.Document) {
 	if rate := document.Service(r.settings.Service).ColdRate; rate > 0 {
-		r.admitter.SetColdLimit(max(1, int(rate*r.settings.ColdOvershoot)))
+		r.admitter.SetColdLimit(max(1, int(rate*r.tunable.Load().ColdOvershoot)))
 	}
 }
 
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -11,17 +11,21 @@
 // stopReserve is the part of the time for a stop that is kept to close what is left.
 const stopReserve = 6
 
+// StopTimeout is how long a planned stop may take, by the newest settings.
+func (r *Runner) StopTimeout() time.Duration { return r.tunable.Load().StopTimeout }
+
 // stop says that the node leaves, goes on taking callers until they had the time to learn it,
 // finishes what is in flight and closes.
 func (r *Runner) stop() error {
 	r.stopping.Store(true)
 	r.record(eelgrasspoint.EventNodeStopping, "")
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.StopTimeout-r.settings.StopTimeout/stopReserve)
+	limit := r.StopTimeout()
+	ctx, cancel := context.WithTimeout(context.Background(), limit-limit/stopReserve)
 	defer cancel()
 	left := make(chan struct{})
 	r.controller.Do(controller.Leave{Done: left})
 	<-left
-	noticed := time.After(max(eelgrasspoint.StopNoticeTime, r.settings.DrainTimeout))
+	noticed := time.After(max(eelgrasspoint.StopNoticeTime, r.tunable.Load().DrainTimeout))
 	go r.observer.Flush(ctx)
 	go r.deleteRow(ctx)
 	<-noticed
