--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := ./... ./standin/...
 
 # Targets for daily work; README tells them by task.
-.PHONY: schedules race build tools test lint format generate check-generated demo demo-shell measure fuzz clean
+.PHONY: soak schedules race build tools test lint format generate check-generated demo demo-shell measure fuzz clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./standin/cmd/...
@@ -58,3 +58,7 @@
 
 fuzz:
 	for f in $$(grep -rl '^func Fuzz' --include=*_test.go . ); do go test ./$$(dirname $$f) -run '^$$' -fuzz . -fuzztime 20s || exit 1; done
+
+# Fresh seeds of random faults on real processes.
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $$(date +%s) --seeds 8
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -62,20 +62,21 @@
 	}
 }
 
-// Release gives the slot back and learns from the run. It reports whether the backend
-// server turned cold.
-func (a *Admitter) Release(sample eelgrasspoint.Sample) bool {
+// Release gives the slot back and learns from the run. It reports whether the backend server
+// turned cold, and whether its last slots are given up from now on.
+func (a *Admitter) Release(sample eelgrasspoint.Sample) (cold, crowded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sample.InUse = a.inUse
 	a.leave(sample.Admitted)
-	cold := a.limiter.Observe(sample)
+	cold = a.limiter.Observe(sample)
 	if sample.Succeeded {
 		a.service.learn(sample.Duration, sample.At)
 	}
+	before := a.crowd.slows()
 	a.crowd.learn(&sample)
 	a.grant()
-	return cold
+	return cold, !before && a.crowd.slows()
 }
 
 // Reset starts again for a new incarnation with the slots.
--- a/coordination/admitter/crowding_test.go
+++ b/coordination/admitter/crowding_test.go
@@ -12,15 +12,20 @@
 	"eelgrasspoint/coordination/limiter"
 )
 
-// finish runs requests that took the time, one after the other.
-func finish(t *testing.T, a *admitter.Admitter, count int, sample eelgrasspoint.Sample) {
+// finish runs requests that took the time, one after the other, and returns how often it was told
+// that the last slots are given up.
+func finish(t *testing.T, a *admitter.Admitter, count int, sample eelgrasspoint.Sample) int {
 	t.Helper()
+	told := 0
 	for range count {
 		admitted, err := a.Admit(t.Context(), &eelgrasspoint.Meta{Insists: true})
 		assert.NilError(t, err)
 		sample.Admitted, sample.At = admitted, admitted.Add(sample.Duration)
-		a.Release(sample)
+		if _, crowded := a.Release(sample); crowded {
+			told++
+		}
 	}
+	return told
 }
 
 // room is how many requests that insist run at once.
@@ -54,7 +59,8 @@
 			a := admitter.NewTold(limiter.NewFixed(10), time.Now)
 			a.Reset(10)
 			finish(t, a, 30, eelgrasspoint.Sample{Succeeded: true, Usual: true, Route: "r", Duration: usual})
-			finish(t, a, 30, eelgrasspoint.Sample{Succeeded: true, Usual: c.atUsualSpeed, Crowded: true, Route: "r", Duration: c.crowded})
+			told := finish(t, a, 30, eelgrasspoint.Sample{Succeeded: true, Usual: c.atUsualSpeed, Crowded: true, Route: "r", Duration: c.crowded})
+			assert.Equal(t, told == 1, c.room < 10)
 			assert.Equal(t, room(t, a), c.room)
 		})
 	}
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -263,9 +264,13 @@
 	if sample.Succeeded {
 		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
 	}
-	if e.options.Admitter.Release(sample) {
+	cold, crowded := e.options.Admitter.Release(sample)
+	if cold {
 		e.record(eelgrasspoint.EventBackendCold, r.backend.Service, r.backend.Address.String())
 	}
+	if crowded {
+		e.record(eelgrasspoint.EventLastSlotsGivenUp, r.backend.Service, fmt.Sprintf("%d of %d slots are used", admitter.FastSlots(int(r.backend.Slots)), r.backend.Slots))
+	}
 }
 
 func (e *Executor) record(number eelgrasspoint.EventNumber, service, detail string) {
--- a/event.go
+++ b/event.go
@@ -46,6 +46,7 @@
 	EventAttemptRefused
 	EventAttemptFailed
 	EventRowKept
+	EventLastSlotsGivenUp
 )
 
 // Event is one thing that happened on a node. The pair (Wall, Logical) is a hybrid logical clock.
--- a/event_test.go
+++ b/event_test.go
@@ -23,7 +23,7 @@
 		assert.Equal(t, strings.Count(line, "|"), 7, line)
 		number++
 	}
-	assert.Equal(t, number, eelgrasspoint.EventRowKept+1, "event %d has no line", number)
+	assert.Equal(t, number, eelgrasspoint.EventLastSlotsGivenUp+1, "event %d has no line", number)
 }
 
 func TestNamesThereAndBack(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -23,7 +23,7 @@
 	Permitted   []string
 	Fingerprint uint64
 	Attempt     int
-	// Insists tells an exit node not to refuse only because its backend server is slow.
+	// Insists tells an exit node to wait, rather than to refuse, while its backend server is slow or full.
 	Insists bool
 	// Caller is the service beside the entry node.
 	Caller string
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -44,7 +44,7 @@
 	{name: "delay", run: delayLink},
 	{name: "cut", run: cutLink},
 	{name: "silence", run: silenceLink},
-	{name: "reset", run: func(s *Soak, v *vm, e Event) { v.link(e.Figure).Reset() }},
+	{name: "reset", run: func(_ *Soak, v *vm, e Event) { v.link(e.Figure).Reset() }},
 	{name: "store", run: disturbStore},
 }
 
