A departure that does not say its start is remembered

Ruled out: the greeting of a running backend server (no configuration yet, so nothing was asked). What: departures without a start are kept with their time, eight and 30 s at most; an announcement of that identifier whose start lies before is stale. One that starts again later is taken. In the soak, backend servers serve for 2 s after they said that they leave, so that work which should not come would be seen.

--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -11,7 +11,7 @@
 type Announce struct{ eelgrasspoint.Announcement }
 
 func (a Announce) apply(c *Controller) {
-	if !c.lifetime.accepts(&a.Announcement) {
+	if !c.lifetime.accepts(&a.Announcement, c.options.Clock()) {
 		c.record(eelgrasspoint.EventAnnouncementStale, "", c.self.AvailabilityZone, a.ID)
 		return
 	}
@@ -35,6 +35,7 @@
 	}
 	switch {
 	case a.Backend == nil && old == nil:
+		c.record(eelgrasspoint.EventBackendLeft, "", c.self.AvailabilityZone, a.ID)
 		return
 	case a.Backend == nil:
 		c.record(eelgrasspoint.EventBackendLeft, old.Service, c.self.AvailabilityZone, old.Address.String())
--- a/member.go
+++ b/member.go
@@ -23,7 +23,8 @@
 type Announcement struct {
 	// ID is the name of the backend server's lifetime, or empty.
 	ID string
-	// Incarnation rises with each lifetime; zero if it was not said.
+	// Incarnation rises with each lifetime; zero if it was not said. That of a backend server with
+	// an ID is when it started, in milliseconds since 1970.
 	Incarnation uint64
 	// Sequence rises with each announcement of one lifetime; zero if it was not said.
 	Sequence uint64
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -50,6 +50,8 @@
 	slots       = 13
 	serviceTime = 8 * time.Millisecond
 	connections = 260
+	// servesOn is how long a backend server serves after it said that it leaves.
+	servesOn = 2 * time.Second
 )
 
 func (s *Soak) startStore() error {
@@ -132,7 +134,9 @@
 	if backend.Leave(http.DefaultClient, v.node.Control) {
 		v.soak.checker.left(v, incarnation)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	// It goes on serving, so that work which should not come any more would be seen.
+	time.Sleep(servesOn)
+	ctx, cancel := context.WithTimeout(context.Background(), servesOn)
 	defer cancel()
 	_ = v.server.Shutdown(ctx)
 }
