--- a/standin/proof/membership_test.go
+++ b/standin/proof/membership_test.go
@@ -1,7 +1,10 @@
 package proof
 
 import (
+	"bufio"
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -342,3 +345,47 @@
 		assert.Assert(t, took <= 4*time.Second, "met after 6 s and %v", took)
 	})
 }
+
+// controlBytesPerSecond is what a node may spend on control.
+const controlBytesPerSecond = 3000
+
+// TestNewsWithinBudget lets a fifth of the backend servers go and come back within 15 s, as when a
+// rack fails, and counts what the nodes tell each other of it.
+func TestNewsWithinBudget(t *testing.T) {
+	const count, changed, lasts = 80, 16, 15 * time.Second
+	withCrew(t, count, platform.Faults{}, func(t *testing.T, s *stage.Stage) {
+		time.Sleep(30 * time.Second)
+		before, began := exchangeBytes(t, s), time.Now()
+		for _, n := range s.Nodes[:changed] {
+			n.KillBackend()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range s.Nodes[:changed] {
+			n.StartBackend()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Until(began.Add(lasts)))
+		perNode := (exchangeBytes(t, s) - before) / lasts.Seconds() / count
+		assert.Assert(t, perNode <= controlBytesPerSecond, "%.0f bytes a second and node", perNode)
+	})
+}
+
+// exchangeBytes adds up what all nodes count of the exchange.
+func exchangeBytes(t *testing.T, s *stage.Stage) float64 {
+	t.Helper()
+	total := 0.0
+	for _, n := range s.Nodes {
+		response, err := s.Client().Get(n.ControlURL() + "/metrics")
+		assert.NilError(t, err)
+		for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+			if text, found := strings.CutPrefix(lines.Text(), "eelgrass_exchange_bytes_total "); found {
+				bytes, err := strconv.ParseFloat(text, 64)
+				assert.NilError(t, err)
+				total += bytes
+			}
+		}
+		response.Body.Close()
+	}
+	return total
+}
