The wait for a slow backend server is no run time

Cause: the time of a run counted from its slot, and since requests wait for speed with their slot taken, the wait was in it. What: a run counts from when it is sent; the slot is given back by when it was taken. TestWaitIsNoRunTime was red before.

--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -232,7 +232,7 @@
 	}
 	r := &run{
 		executor: e, attempt: attempt, backend: *e.backend, transport: e.transport,
-		epoch: e.epoch, suspect: suspect, began: admitted,
+		epoch: e.epoch, suspect: suspect, admitted: admitted, began: e.options.Clock(),
 	}
 	if suspect {
 		e.suspects++
@@ -259,7 +259,7 @@
 	e.mu.Unlock()
 	sample.Route, sample.Usual, sample.Crowded = r.attempt.Meta.Route, r.usual, r.crowded
 	sample.At = e.options.Clock()
-	sample.Admitted = r.began
+	sample.Admitted = r.admitted
 	sample.Duration = r.serviceTime(sample.At)
 	if sample.Succeeded {
 		e.options.Quarantiner.Clear(r.attempt.Meta.Fingerprint)
--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -117,3 +117,16 @@
 	assert.Assert(t, time.Since(began) >= time.Duration(eelgrasspoint.SlowWaitShare*float64(target)))
 	assert.Equal(t, s.runs.Load(), int32(1))
 }
+
+// TestWaitIsNoRunTime shows that the wait for a slow backend server is not taken for a long run.
+func TestWaitIsNoRunTime(t *testing.T) {
+	s := &server{slowChecks: 5}
+	e := newExecutor(t, s)
+	began := time.Now()
+	answer, err := e.Carry(t.Context(), nil, attempt(true, 5*time.Second))
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, answer.Response.Body)
+	assert.NilError(t, err)
+	waited := time.Since(began)
+	assert.Assert(t, e.Load().Expected < waited/2, "a run is expected to take %v, after one that waited %v", e.Load().Expected, waited)
+}
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -26,7 +26,8 @@
 	transport *http.Transport
 	epoch     uint64
 	suspect   bool
-	began     time.Time
+	// admitted is when the run got its slot, began when it was sent.
+	admitted, began time.Time
 	// usual and crowded tell what the backend server was like when the run began.
 	usual, crowded bool
 	answered       atomic.Int64
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -31,7 +31,7 @@
 	ControlAddress netip.AddrPort
 	// AdvertisedAddress is where other nodes reach PeerAddress, if they don't reach it there.
 	AdvertisedAddress netip.AddrPort
-	// Platform is the address of the table service and object store; without it the node
+	// Platform is the address of the table service; without it the node
 	// keeps its configuration in memory only.
 	Platform netip.AddrPort
 	// PlatformRegion is where the platform sits: what is bound to other regions is not kept in it.
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -51,7 +51,7 @@
 		Namespace: namespace, Name: "link_request_bytes_total",
 		Help: "Bytes of requests and answers sent over the link to other regions.",
 	})
-	m.storeCalls = counters("store_calls_total", "Calls of the platform's table service and object store, by call and result.", "call", "result")
+	m.storeCalls = counters("store_calls_total", "Calls of the platform's table service, by call and result.", "call", "result")
 	m.exchanges = counters("exchange_messages_total", "Messages between nodes, by kind.", "kind")
 	m.checks = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "health_checks_total", Help: "Health checks sent to the backend server beside the node.",
