Rules that the change wrote twice have one place

Cause: a reading of the whole change. Ruled out: one function for all announcements (the project's own answers before they are in force, the users' after; making them one would change the former).

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -138,7 +138,7 @@
 	if !meta.Insists && !a.tellsLoad && a.service.slow(age, now) {
 		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
-	if a.queue.Len() == 0 && a.inUse < a.limitFor(meta) {
+	if a.queue.Len() == 0 && a.inUse < a.limit(meta.Insists) {
 		a.take(now)
 		return nil, now, nil
 	}
@@ -156,18 +156,10 @@
 	return w, time.Time{}, nil
 }
 
-// limitFor leaves the last slots, in which some backend servers are slower, to requests that have
-// no other way.
-func (a *Admitter) limitFor(meta *eelgrasspoint.Meta) int {
-	if a.tellsLoad && !meta.Insists {
-		return FastSlots(a.limiter.Limit())
-	}
-	return a.limit()
-}
-
-// limit is how many requests may run at once: not in the last slots, where they slow down all.
-func (a *Admitter) limit() int {
-	if a.crowd.slows() {
+// limit is how many requests may run at once. The last slots are left to requests that insist,
+// and to none where runs in them slow down.
+func (a *Admitter) limit(insists bool) int {
+	if a.tellsLoad && !insists || a.crowd.slows() {
 		return FastSlots(a.limiter.Limit())
 	}
 	return a.limiter.Limit()
@@ -227,7 +219,7 @@
 // grant hands free slots to the waiters that go first, refusing those that are too late.
 func (a *Admitter) grant() {
 	now := a.clock()
-	for a.queue.Len() > 0 && a.inUse < a.limit() && a.cold.admits(now) {
+	for a.queue.Len() > 0 && a.inUse < a.limit(true) && a.cold.admits(now) {
 		w := a.queue.popBest()
 		if !w.deadline.IsZero() && now.Add(a.service.recent/2).After(w.deadline) {
 			w.verdict <- eelgrasspoint.DeadlinePassed
--- a/coordination/controller/lifetime.go
+++ b/coordination/controller/lifetime.go
@@ -87,9 +87,9 @@
 func (l *lifetime) leave(a *eelgrasspoint.Announcement, now time.Time) bool {
 	if a.Incarnation == 0 && a.ID != "" {
 		l.depart(a.ID, now)
-	}
-	if l.id == "" && a.ID != "" && a.Incarnation == 0 {
-		return true
+		if l.id == "" {
+			return true
+		}
 	}
 	if a.Incarnation != 0 && a.Incarnation < l.incarnation {
 		return false
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -93,10 +93,7 @@
 	if request.GetAfterRevision() >= configuration.Revision {
 		return &schema.GetResponse{}, nil
 	}
-	return &schema.GetResponse{
-		Revision:      configuration.Revision,
-		Configuration: translator.DocumentMessage(&configuration.Document),
-	}, nil
+	return translator.ConfigurationMessage(configuration), nil
 }
 
 // Members answers with the members in buckets that the asking node sees differently.
--- a/coordination/forwarder/choice.go
+++ b/coordination/forwarder/choice.go
@@ -35,9 +35,7 @@
 	if candidate.Region != p.self.Region {
 		return true
 	}
-	length := p.request.ContentLength
-	long := length < 0 || length > eelgrasspoint.MaxUnaskedBytes
-	return long && candidate.AvailabilityZone == p.self.AvailabilityZone
+	return eelgrasspoint.LongBody(p.request.ContentLength) && candidate.AvailabilityZone == p.self.AvailabilityZone
 }
 
 // choose asks for a candidate as the snapshot of this moment has them: a zone may have left
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -291,9 +291,7 @@
 	if err != nil || response.GetConfiguration() == nil {
 		return
 	}
-	o.options.Controller.Do(controller.Replace{Configuration: eelgrasspoint.Configuration{
-		Revision: response.GetRevision(), Document: translator.Document(response.GetConfiguration()),
-	}})
+	o.options.Controller.Do(controller.Replace{Configuration: translator.Configuration(response)})
 }
 
 // compareDigest repairs views that stay different after the news is out.
--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -90,11 +90,7 @@
 
 // Get returns the configuration in force.
 func (o *Operator) Get(context.Context, *schema.GetRequest) (*schema.GetResponse, error) {
-	configuration := o.options.Holder.Load().Configuration
-	return &schema.GetResponse{
-		Revision:      configuration.Revision,
-		Configuration: translator.DocumentMessage(&configuration.Document),
-	}, nil
+	return translator.ConfigurationMessage(o.options.Holder.Load().Configuration), nil
 }
 
 // Status returns what this node knows of all, with the loads that the others answer now.
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// Configuration returns the configuration of a message.
+func Configuration(m *schema.GetResponse) eelgrasspoint.Configuration {
+	return eelgrasspoint.Configuration{Revision: m.GetRevision(), Document: Document(m.GetConfiguration())}
+}
+
+// ConfigurationMessage returns the message of a configuration.
+func ConfigurationMessage(c *eelgrasspoint.Configuration) *schema.GetResponse {
+	return &schema.GetResponse{Revision: c.Revision, Configuration: DocumentMessage(&c.Document)}
+}
+
 // Member returns the member of a message. A peer address that does not parse makes it invalid.
 func Member(m *schema.Member) (eelgrasspoint.Member, error) {
 	address, err := netip.ParseAddrPort(m.GetPeerAddress())
--- a/request.go
+++ b/request.go
@@ -60,6 +60,10 @@
 	m.TargetLatency = route.TargetLatency
 }
 
+// LongBody reports whether a body of the length, negative if it is unknown, is sent only after the
+// exit node has admitted its request.
+func LongBody(length int64) bool { return length < 0 || length > MaxUnaskedBytes }
+
 // Attempt is one sending of a request to one backend server.
 type Attempt struct {
 	Meta   Meta
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -84,7 +84,7 @@
 	if attempt.Length == 0 {
 		request.Body = http.NoBody
 	}
-	if attempt.Length < 0 || attempt.Length > eelgrasspoint.MaxUnaskedBytes {
+	if eelgrasspoint.LongBody(attempt.Length) {
 		// The exit node refuses before a long body is sent.
 		header["Expect"] = []string{"100-continue"}
 	}
