Soak: state that could be derived goes

Cause: a reading of the whole change. A VM held the cluster beside its soak, the operator a home region that is a constant, terminate and left took what they had or did not use, and the watch on revisions told processes apart by a pointer that a restart replaces meanwhile, unguarded. What: one constant for the home region; a count of starts, raised before each restart, in place of the pointer. The checks and their bounds are the same.

--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -25,7 +25,7 @@
 	{name: "page", method: http.MethodGet, path: "/catalogue/1", idempotent: true},
 	{name: "booking", method: http.MethodPost, path: "/bookings", bytes: 200},
 	{name: "photograph", method: http.MethodPost, path: "/photographs", bytes: 150 << 10},
-	{name: "statement", method: http.MethodGet, path: "/statements/1", idempotent: true, home: "astana"},
+	{name: "statement", method: http.MethodGet, path: "/statements/1", idempotent: true, home: homeRegion},
 	{name: "moving", method: http.MethodPost, path: "/moving", bytes: 50},
 }
 
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -69,7 +69,7 @@
 }
 
 // left is told when a node acknowledged that its backend server leaves.
-func (c *checker) left(_ *vm, incarnation uint64) {
+func (c *checker) left(incarnation uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leftAt[incarnation] = time.Now()
@@ -102,18 +102,18 @@
 // watch checks all the while, and that no node goes back to an earlier revision.
 func (c *checker) watch(ctx context.Context) {
 	revisions := make(map[*vm]uint64)
-	processes := make(map[*vm]any)
+	startsSeen := make(map[*vm]int64)
 	for ctx.Err() == nil {
 		for _, v := range c.soak.vms {
-			process := v.node.Process
+			starts := v.starts.Load()
 			revision, ok := c.revision(ctx, v)
-			if !ok || v.node.Process != process {
+			if !ok || v.starts.Load() != starts {
 				continue
 			}
-			if processes[v] == any(process) && revision < revisions[v] {
+			if startsSeen[v] == starts && revision < revisions[v] {
 				c.broken("no earlier revision", "%s went from %d to %d", v.name, revisions[v], revision)
 			}
-			revisions[v], processes[v] = revision, process
+			revisions[v], startsSeen[v] = revision, starts
 		}
 		c.check()
 		select {
--- a/standin/soak/operator.go
+++ b/standin/soak/operator.go
@@ -15,7 +15,6 @@
 // operator makes changes and remembers which are certain.
 type operator struct {
 	soak *Soak
-	home string
 	// zone is held while a zone is out of service.
 	zone sync.Mutex
 
@@ -36,7 +35,8 @@
 	asked, accepted time.Time
 }
 
-const defaultHome = "astana"
+// homeRegion is the only region that may run statements.
+const homeRegion = "astana"
 
 // begin applies the configuration that a run starts with.
 func (o *operator) begin(ctx context.Context) error {
@@ -53,7 +53,7 @@
 		{Name: "catalogue", PathPrefix: "/catalogue", Service: "vitrine", Weight: 2, Idempotent: true, Hedge: true, TimeLimit: limit},
 		{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Weight: 5, TimeLimit: limit},
 		{Name: "photographs", PathPrefix: "/photographs", Service: "ledger", Weight: 1, TimeLimit: limit},
-		{Name: "statements", PathPrefix: "/statements", Service: "ledger", Weight: 2, Idempotent: true, TimeLimit: limit, HomeRegions: []string{o.home}},
+		{Name: "statements", PathPrefix: "/statements", Service: "ledger", Weight: 2, Idempotent: true, TimeLimit: limit, HomeRegions: []string{homeRegion}},
 		moving(services[0]),
 	}
 	if !o.apply(ctx, document) {
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -117,7 +117,7 @@
 func terminateNode(s *Soak, v *vm, e Event) {
 	v.process.Lock()
 	defer v.process.Unlock()
-	back := v.terminate(s)
+	back := v.terminate()
 	time.Sleep(e.Lasts / 4)
 	s.restartNode(v)
 	back()
@@ -134,6 +134,7 @@
 
 // restartNode waits until the node listens: a signal before that meets no program yet.
 func (s *Soak) restartNode(v *vm) {
+	v.starts.Add(1)
 	if err := s.cluster.RestartNode(v.node); err != nil {
 		s.checker.broken("soak", "%s: %v", v.name, err)
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -66,7 +66,7 @@
 		random: eelgrasspoint.NewRandom(options.Seed), began: time.Now(),
 	}
 	s.checker = newChecker(s)
-	s.operator = operator{soak: s, home: defaultHome}
+	s.operator = operator{soak: s}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
 		return nil, err
@@ -159,7 +159,7 @@
 func (s *Soak) stop() {
 	var group sync.WaitGroup
 	for _, v := range s.vms {
-		group.Go(func() { v.terminate(s) })
+		group.Go(func() { v.terminate() })
 	}
 	group.Wait()
 }
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,7 +22,6 @@
 type vm struct {
 	name, region, zone, service string
 	node                        *cluster.Node
-	cluster                     *cluster.Cluster
 	soak                        *Soak
 	// peers leads to the node, own to its backend server, store from the node to the store.
 	peers, own, store *link.Link
@@ -31,6 +31,9 @@
 	server  *http.Server
 	stopPut context.CancelFunc
 
+	// starts counts the starts of the node's process after the first.
+	starts atomic.Int64
+
 	mu          sync.Mutex
 	disturbed   []span
 	stops       []span
@@ -68,7 +71,7 @@
 func (s *Soak) addVM(number int) (*vm, error) {
 	zone := zones[number%len(zones)]
 	service := services[number/len(zones)%len(services)]
-	v := &vm{name: fmt.Sprintf("%s-%s-%d", zone, service, number), region: zone[:6], zone: zone, service: service, cluster: s.cluster, soak: s}
+	v := &vm{name: fmt.Sprintf("%s-%s-%d", zone, service, number), region: zone[:6], zone: zone, service: service, soak: s}
 	for _, l := range []**link.Link{&v.peers, &v.own, &v.store} {
 		var err error
 		if *l, err = link.New(); err != nil {
@@ -132,7 +135,7 @@
 	incarnation := v.incarnation
 	v.mu.Unlock()
 	if backend.Leave(http.DefaultClient, v.node.Control) {
-		v.soak.checker.left(v, incarnation)
+		v.soak.checker.left(incarnation)
 	}
 	// It goes on serving, so that work which should not come any more would be seen.
 	time.Sleep(servesOn)
@@ -143,11 +146,11 @@
 
 // terminate stops the node as planned work does and checks that it ends by itself in time. The
 // returned function is called once it is back.
-func (v *vm) terminate(s *Soak) func() {
+func (v *vm) terminate() func() {
 	back := v.open(&v.stops)
 	v.node.Process.Signal(syscall.SIGTERM)
 	if !v.node.Process.Wait(stopTimeout + time.Second) {
-		s.checker.broken("planned stop", "%s did not end well within %v of SIGTERM", v.name, stopTimeout)
+		v.soak.checker.broken("planned stop", "%s did not end well within %v of SIGTERM", v.name, stopTimeout)
 		v.node.Process.Signal(syscall.SIGKILL)
 		v.node.Process.Wait(time.Second)
 	}
