Record panics, cut answers and net/http's error lines as events

RequestAnswered is written after the answer was relayed. Nothing that a caller sees is changed: a panic still ends the connection.

--- a/cmd/eelgrassctl/explainer/explainer.go
+++ b/cmd/eelgrassctl/explainer/explainer.go
@@ -73,6 +73,7 @@
 // finalEvents are the events that record the end of a request.
 var finalEvents = []eelgrasspoint.EventNumber{
 	eelgrasspoint.EventRequestFailed, eelgrasspoint.EventRequestRefused, eelgrasspoint.EventRequestAnswered,
+	eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked,
 }
 
 // Write prints the request's lines in order of time and marks with > the line that explains the outcome.
@@ -98,13 +99,18 @@
 	return true
 }
 
-// decidingIndex returns the index of the line that explains the outcome: of an answered request the
-// answer; of a failed or refused request the last failed attempt, else the last refused attempt, else
-// the line that records the end. If no line records the end, it returns 0.
+// decidingIndex returns the index of the line that explains the outcome: of a failed or refused request the
+// last failed attempt, else the last refused attempt, else the line that records the end; of any other
+// request the line that records the end. If no line records the end, it returns 0.
 func (e *Explainer) decidingIndex() int {
 	end := e.lastIndex(finalEvents...)
-	if end < 0 || e.lines[end].event == eelgrasspoint.EventRequestAnswered {
-		return max(end, 0)
+	if end < 0 {
+		return 0
+	}
+	switch e.lines[end].event {
+	case eelgrasspoint.EventRequestFailed, eelgrasspoint.EventRequestRefused:
+	default:
+		return end
 	}
 	attempt := e.lastIndex(eelgrasspoint.EventAttemptFailed)
 	if attempt < 0 {
--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -60,6 +61,8 @@
 		usePlatformContract(&options)
 	}
 	node := runner.New(options)
+	log.SetFlags(0)
+	log.SetOutput(node.ErrorLog())
 	watchSettings(ctx, path, settings, node)
 	return node.Run(ctx)
 }
--- a/coordination/forwarder/events.go
+++ b/coordination/forwarder/events.go
@@ -42,16 +42,22 @@
 
 // recordEnd records the result of the request: status, time until the answer or error was available
 // (without relaying it), time left before the deadline and last exit node.
-func (p *proxiedRequest) recordEnd(number eelgrasspoint.EventNumber, detail string, start time.Time, status int) {
-	now := p.forwarder.Clock()
+func (p *proxiedRequest) recordEnd(number eelgrasspoint.EventNumber, detail string, took time.Duration, status int) {
 	inputs := []eelgrasspoint.Input{
-		{Name: "Status", Value: status}, {Name: "TookMilliseconds", Value: now.Sub(start).Milliseconds()},
+		{Name: "Status", Value: status}, {Name: "TookMilliseconds", Value: took.Milliseconds()},
 	}
 	if !p.meta.Deadline.IsZero() {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "LeftMilliseconds", Value: p.meta.Deadline.Sub(now).Milliseconds()})
+		left := p.meta.Deadline.Sub(p.forwarder.Clock())
+		inputs = append(inputs, eelgrasspoint.Input{Name: "LeftMilliseconds", Value: left.Milliseconds()})
 	}
 	if len(p.tried) > 0 {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "ExitNode", Value: p.tried[len(p.tried)-1].Node})
 	}
 	p.record(number, detail, inputs...)
 }
+
+// recordCutShort records and counts an answer of which the caller got only a part.
+func (p *proxiedRequest) recordCutShort(err error, took time.Duration, status int) {
+	p.forwarder.Meter.CountCutShort(p.meta.Service, err)
+	p.recordEnd(eelgrasspoint.EventAnswerCutShort, err.Error(), took, status)
+}
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -147,15 +147,20 @@
 	propagator.Strip(header)
 	f.Contract.WriteAnswer(header, &p.meta)
 	p.setConnectionClose(header)
-	defer func() { f.Meter.ObserveRequest(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(start)) }()
-	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", start, answer.Response.StatusCode)
-	f.relayer.Relay(w, answer.Response)
+	took := f.Clock().Sub(start)
+	err := f.relayer.Relay(w, answer.Response)
+	f.Meter.ObserveRequest(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(start))
+	if err != nil {
+		p.recordCutShort(err, took, answer.Response.StatusCode)
+		panic(http.ErrAbortHandler)
+	}
+	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", took, answer.Response.StatusCode)
 }
 
 func (f *Forwarder) respondError(w http.ResponseWriter, p *proxiedRequest, start time.Time, err *eelgrasspoint.OutcomeError) {
 	f.Meter.ObserveRequest(p.meta.Service, err.Outcome, f.Clock().Sub(start))
 	f.Meter.CountWithoutAnswer(p.meta.Service, err.Reason)
-	p.recordEnd(errorEvent(err), err.Error(), start, eelgrasspoint.Status(err.Outcome, err.Reason))
+	p.recordEnd(errorEvent(err), err.Error(), f.Clock().Sub(start), eelgrasspoint.Status(err.Outcome, err.Reason))
 	p.setConnectionClose(w.Header())
 	responder.Write(w, f.Contract, p.meta.RequestID, &eelgrasspoint.OutcomeError{
 		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err), RetryAfter: err.RetryAfter,
--- a/errors.go
+++ b/errors.go
@@ -64,6 +64,33 @@
 	}
 }
 
+// AnswerSide is the connection that failed while an answer was relayed.
+type AnswerSide int
+
+// Connections of an answer.
+const (
+	// ServerSide is the connection that the answer is read from: to the backend server, or to its exit node.
+	ServerSide AnswerSide = iota
+	// CallerSide is the connection that the answer is written to: to the caller, or to the entry node.
+	CallerSide
+)
+
+// AnswerCutShortError is returned for an answer of which only a part was relayed.
+type AnswerCutShortError struct {
+	Side AnswerSide
+	// Bytes is the length of the part of the body that was relayed.
+	Bytes int64
+	Cause error
+}
+
+// Error implements error.
+func (e *AnswerCutShortError) Error() string {
+	return fmt.Sprintf("answer cut short after %d bytes of its body: %v: %v", e.Bytes, e.Side, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *AnswerCutShortError) Unwrap() error { return e.Cause }
+
 // ConflictError is returned for a conditional write that was rejected because a row has another
 // version.
 type ConflictError struct {
--- a/event.go
+++ b/event.go
@@ -47,6 +47,9 @@
 	EventAttemptFailed
 	EventRowKept
 	EventLastSlotsGivenUp
+	EventAnswerCutShort
+	EventHandlerPanicked
+	EventServerError
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/event_string.go
+++ b/event_string.go
@@ -46,11 +46,14 @@
 	_ = x[EventAttemptFailed-35]
 	_ = x[EventRowKept-36]
 	_ = x[EventLastSlotsGivenUp-37]
+	_ = x[EventAnswerCutShort-38]
+	_ = x[EventHandlerPanicked-39]
+	_ = x[EventServerError-40]
 }
 
-const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUp"
+const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUpAnswerCutShortHandlerPanickedServerError"
 
-var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474}
+var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474, 488, 503, 514}
 
 func (i EventNumber) String() string {
 	idx := int(i) - 0
--- a/outcome.go
+++ b/outcome.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-//go:generate stringer -type=Outcome,Reason,AttemptState -output=outcome_string.go
+//go:generate stringer -type=Outcome,Reason,AttemptState,AnswerSide -output=outcome_string.go
 
 // Outcome is whether a request was executed.
 type Outcome int
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -36,9 +37,11 @@
 	"eelgrasspoint/state/meter"
 	"eelgrasspoint/state/publisher"
 	"eelgrasspoint/state/recorder"
+	"eelgrasspoint/state/transcriber"
 	"eelgrasspoint/transport/dialer"
 	"eelgrasspoint/transport/dispatcher"
 	"eelgrasspoint/transport/receiver"
+	"eelgrasspoint/transport/recoverer"
 )
 
 // Runner runs one node.
@@ -176,17 +179,17 @@
 
 func (r *Runner) buildServers() servers {
 	return newServers(handlers{
-		callers: forwarder.New(forwarder.Options{
+		callers: r.recovering(callerServer, r.callerRequestID, forwarder.New(forwarder.Options{
 			Holder: r.holder, Chooser: r.chooser(), Retrier: r.retrier, Link: r.linkBudget, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
 			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom, Stopping: r.stopping.Load,
-		}),
-		attempts: receiver.New(receiver.Options{
+		})),
+		attempts: r.recovering(peerServer, peerRequestID, receiver.New(receiver.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
-			Contract:  r.options.Contract,
+			Contract: r.options.Contract, Recorder: r.recorder,
 			Measuring: r.measuringBudget, Count: r.meter.AddMeasuringBytes,
-		}),
+		})),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
 			Now: r.recorder.Now, Pull: r.pullConfiguration, Events: r.timelineEvents, Crashed: r.recordCrash,
@@ -200,9 +203,28 @@
 		readiness:     r.readinessHandler(),
 		announcements: r.announcementHandler(),
 		metrics:       promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
-	})
+	}, r.recorder)
+}
+
+// recovering wraps the handler of a server, so that its panics are recorded.
+func (r *Runner) recovering(server string, requestID func(*http.Request) string, handler http.Handler) http.Handler {
+	return recoverer.New(recoverer.Options{
+		Server: server, Recorder: r.recorder, Count: r.meter.CountPanic, RequestID: requestID,
+	}, handler)
 }
 
+func (r *Runner) callerRequestID(request *http.Request) string {
+	call, _ := r.options.Contract.ReadCall(request)
+	return call.RequestID
+}
+
+func peerRequestID(request *http.Request) string {
+	return request.Header.Get(eelgrasspoint.HeaderRequestID)
+}
+
+// ErrorLog returns a writer that records the lines of the standard library's default logger.
+func (r *Runner) ErrorLog() io.Writer { return transcriber.New(r.recorder, defaultLogger) }
+
 // Run serves requests until ctx ends, then stops the node gracefully. It returns early with an error if
 // a server can't listen or fails, and with nil after Abort.
 func (r *Runner) Run(ctx context.Context) error {
--- a/runner/servers.go
+++ b/runner/servers.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/loader"
+	"eelgrasspoint/state/transcriber"
 	"eelgrasspoint/transport/annotator"
 	"eelgrasspoint/transport/receiver"
 )
@@ -65,8 +66,16 @@
 	listener net.Listener
 }
 
-func newServers(h handlers) servers {
-	return servers{
+// Names of the servers, and of the standard library's default logger, in events and metrics.
+const (
+	callerServer  = "callers"
+	peerServer    = "peers"
+	controlServer = "control"
+	defaultLogger = "log"
+)
+
+func newServers(h handlers, recorder eelgrasspoint.Recorder) servers {
+	s := servers{
 		callers: newCallerServer(h.callers),
 		peers:   newPeerServer(h.attempts, h.exchange),
 		control: newControlServer(h),
@@ -75,6 +84,13 @@
 			{setting: "AnnounceAddress", server: newOptionalServer(h.announcements)},
 		},
 	}
+	s.callers.ErrorLog = transcriber.NewLogger(recorder, callerServer)
+	s.peers.ErrorLog = transcriber.NewLogger(recorder, peerServer)
+	s.control.ErrorLog = transcriber.NewLogger(recorder, controlServer)
+	for _, o := range s.optional {
+		o.server.ErrorLog = transcriber.NewLogger(recorder, o.setting)
+	}
+	return s
 }
 
 // newCallerServer returns a server for HTTP/1.1 and HTTP/2, both without TLS.
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -2,6 +2,7 @@
 package meter
 
 import (
+	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,8 @@
 	storeCalls            *prometheus.CounterVec
 	exchangeMessages      *prometheus.CounterVec
 	healthChecks          prometheus.Counter
+	cutShort              *prometheus.CounterVec
+	panics                *prometheus.CounterVec
 }
 
 // Source provides the values that are read at each scrape.
@@ -60,7 +63,9 @@
 	m.healthChecks = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "health_checks_total", Help: "Health checks sent to the backend server beside the node.",
 	})
-	m.registry.MustRegister(m.healthChecks, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
+	m.cutShort = newCounterVec("answers_cut_short_total", "Answers of which the caller got only a part, by service and the side whose connection failed: server or caller.", "service", "side")
+	m.panics = newCounterVec("handler_panics_total", "Panics in the handlers of requests, by server.", "server")
+	m.registry.MustRegister(m.cutShort, m.panics, m.healthChecks, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerSourceMetrics(source)
 	return m
@@ -79,6 +84,19 @@
 	m.requestsWithoutAnswer.WithLabelValues(service, reason.String()).Inc()
 }
 
+// CountCutShort counts an answer of which the caller got only a part; err is that of the relayer.
+func (m *Meter) CountCutShort(service string, err error) {
+	side := "server"
+	var cutShort *eelgrasspoint.AnswerCutShortError
+	if errors.As(err, &cutShort) && cutShort.Side == eelgrasspoint.CallerSide {
+		side = "caller"
+	}
+	m.cutShort.WithLabelValues(service, side).Inc()
+}
+
+// CountPanic counts a panic in a handler of the server.
+func (m *Meter) CountPanic(server string) { m.panics.WithLabelValues(server).Inc() }
+
 // CountAttempt counts an attempt, hedged or not; number is zero for the first attempt of a request.
 func (m *Meter) CountAttempt(service string, number int) {
 	kind := "first"
--- a/state/meter/meter_test.go
+++ b/state/meter/meter_test.go
@@ -29,6 +29,8 @@
 	m.AddLinkBytes(1)
 	m.CountStoreCall("Read", "ok")
 	m.CountExchange("Converse")
+	m.CountCutShort("s", &eelgrasspoint.AnswerCutShortError{})
+	m.CountPanic("callers")
 	families, err := m.Registry().Gather()
 	assert.NilError(t, err)
 	count := 0
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -134,7 +134,8 @@
 	switch number {
 	case eelgrasspoint.EventBackendCrashed, eelgrasspoint.EventMemberFailed, eelgrasspoint.EventStoreDown,
 		eelgrasspoint.EventChangeUnknown, eelgrasspoint.EventRequestQuarantined, eelgrasspoint.EventIsolationSuspected,
-		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent:
+		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent,
+		eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked, eelgrasspoint.EventServerError:
 		return logrus.WarnLevel
 	default:
 		return logrus.InfoLevel
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -30,6 +30,7 @@
 	Load     func() eelgrasspoint.Load
 	Clock    eelgrasspoint.Clock
 	Contract eelgrasspoint.Contract
+	Recorder eelgrasspoint.Recorder
 	// Measuring is the byte budget of load hints that are sent to another region.
 	Measuring *budgeter.Budgeter
 	// Count is called with the bytes of each load hint and the kind of link to the entry node.
@@ -61,7 +62,22 @@
 	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
 	header[eelgrasspoint.HeaderServedBy] = []string{r.Name}
 	r.writeLoadHint(header, entryRegion)
-	r.relayer.Relay(w, answer.Response)
+	if err := r.relayer.Relay(w, answer.Response); err != nil {
+		r.recordCutShort(meta, err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// recordCutShort records an answer of which the entry node got only a part, unless data residency forbids it.
+func (r *Receiver) recordCutShort(meta *eelgrasspoint.RequestMetadata, err error) {
+	self := r.Holder.Load().Self
+	if !meta.Permits(self.Region) {
+		return
+	}
+	r.Recorder.Record(eelgrasspoint.Event{
+		Number: eelgrasspoint.EventAnswerCutShort, Service: meta.Service, RequestID: meta.RequestID,
+		AvailabilityZone: self.AvailabilityZone, Detail: err.Error(), Permitted: meta.Permitted,
+	})
 }
 
 // metadata returns the metadata of a request, built from the headers of the attempt and the configuration
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"eelgrasspoint"
@@ -15,6 +16,7 @@
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
+	"eelgrasspoint/state/recorder"
 	"eelgrasspoint/transport/receiver"
 )
 
@@ -67,7 +69,7 @@
 				}),
 				Executor: executor, Contract: parser.New(), Clock: time.Now,
 				Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Count: func(string, int) {},
-				Measuring: budgeter.New(1000, time.Now),
+				Measuring: budgeter.New(1000, time.Now), Recorder: recorder.New("exit", time.Now, logrus.New()),
 			})
 			r := httptest.NewRequest(http.MethodGet, "/m/1", nil)
 			c.meta.Deadline = time.Now().Add(time.Second)
--- /dev/null
+++ b/transport/recoverer/recoverer_test.go
@@ -0,0 +1,59 @@
+package recoverer_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/transport/recoverer"
+)
+
+// eventList keeps what is recorded.
+type eventList struct{ events []eelgrasspoint.Event }
+
+func (l *eventList) Record(event eelgrasspoint.Event) { l.events = append(l.events, event) }
+
+func newRecoverer(list *eventList, panics *int, handler http.HandlerFunc) *recoverer.Recoverer {
+	return recoverer.New(recoverer.Options{
+		Server: "callers", Recorder: list, Count: func(string) { *panics++ },
+		RequestID: func(r *http.Request) string { return r.Header.Get("X-Id") },
+	}, handler)
+}
+
+// TestPanicLeavesEvent guards against a panic that ends a connection with no event, so that it looks like a
+// caller that left.
+func TestPanicLeavesEvent(t *testing.T) {
+	var none []int
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		events  int
+	}{
+		{"index out of range", func(http.ResponseWriter, *http.Request) { _ = none[len(none)-1] }, 1},
+		{"aborted by the handler", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0},
+		{"no panic", func(http.ResponseWriter, *http.Request) {}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list, panics := &eventList{}, 0
+			r := httptest.NewRequest(http.MethodGet, "/", nil)
+			r.Header.Set("X-Id", "77")
+			func() {
+				defer func() { _ = recover() }()
+				newRecoverer(list, &panics, c.handler).ServeHTTP(httptest.NewRecorder(), r)
+			}()
+			assert.Equal(t, len(list.events), c.events)
+			assert.Equal(t, panics, c.events)
+			for _, event := range list.events {
+				assert.Equal(t, event.Number, eelgrasspoint.EventHandlerPanicked)
+				assert.Equal(t, event.RequestID, "77")
+				assert.Assert(t, strings.Contains(event.Detail, "index out of range [-1]"), event.Detail)
+				assert.Equal(t, event.Inputs[0], eelgrasspoint.Input{Name: "Server", Value: "callers"})
+			}
+		})
+	}
+}
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -40,48 +40,59 @@
 	}
 }
 
-// Relay writes the whole response with its trailers. If the response is cut short or can't be written, Relay
-// panics with http.ErrAbortHandler; net/http then aborts its own response, so that a truncated response is
-// not taken for a complete one.
-func (r *Relayer) Relay(w http.ResponseWriter, response *http.Response) {
+// Relay writes the whole response with its trailers. If the response ends early or can't be written, the error
+// is an *eelgrasspoint.AnswerCutShortError. The handler must then panic with http.ErrAbortHandler: net/http
+// aborts its own response, so that a truncated response is not taken for a complete one.
+func (r *Relayer) Relay(w http.ResponseWriter, response *http.Response) error {
 	defer response.Body.Close()
 	copyHeader(w.Header(), response.Header)
 	announceTrailers(w.Header(), response.Trailer)
 	w.WriteHeader(response.StatusCode)
-	if !r.copyBody(w, response) {
-		panic(http.ErrAbortHandler)
+	if err := r.copyBody(w, response); err != nil {
+		return err
 	}
 	for name, values := range response.Trailer {
 		w.Header()[name] = values
 	}
+	return nil
 }
 
-// copyBody reports whether it copied the whole body. A body of unknown length may be a stream; each
-// part of it is flushed, so that it arrives without delay.
-func (r *Relayer) copyBody(w http.ResponseWriter, response *http.Response) bool {
+// copyBody copies the whole body, or returns an *eelgrasspoint.AnswerCutShortError. A body of unknown length
+// may be a stream; each part of it is flushed, so that it arrives without delay.
+func (r *Relayer) copyBody(w http.ResponseWriter, response *http.Response) error {
 	buffer := r.buffers.Get().(*[]byte)
 	defer r.buffers.Put(buffer)
 	unknownLength := response.ContentLength < 0
 	responseController := http.NewResponseController(w)
+	var relayed int64
 	for {
 		n, err := response.Body.Read(*buffer)
-		if n > 0 {
-			if _, writeErr := w.Write((*buffer)[:n]); writeErr != nil {
-				return false
-			}
-			if unknownLength && responseController.Flush() != nil {
-				return false
-			}
+		if writeErr := writePart(w, responseController, (*buffer)[:n], unknownLength); writeErr != nil {
+			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.CallerSide, Bytes: relayed, Cause: writeErr}
 		}
+		relayed += int64(n)
 		if err == io.EOF {
-			return true
+			return nil
 		}
 		if err != nil {
-			return false
+			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.ServerSide, Bytes: relayed, Cause: err}
 		}
 	}
 }
 
+func writePart(w http.ResponseWriter, controller *http.ResponseController, part []byte, flush bool) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if _, err := w.Write(part); err != nil {
+		return err
+	}
+	if flush {
+		return controller.Flush()
+	}
+	return nil
+}
+
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
 		dst[name] = values
