Requests that wait for a newer configuration share one fetch of it

Cause: each request that an exit node refused as StaleRoute, each heartbeat and each heartbeat received fetched the whole configuration on its own. The copies shared a link of 10 Mbit/s, none of them ended within 0.8 s, and what had arrived was thrown away and fetched again. Change: package fetcher runs one fetch at a time; who needs a newer revision meanwhile waits for it. The fetch goes on for up to 3 s when those who wait give up, because later requests need it, too. A fetch that takes 0.8 s doesn't hold up one from another member. ConfigurationNotFetched (41) tells of failures. Why it works: the bytes on the link no longer grow with the number of requests that wait.

--- a/constants.go
+++ b/constants.go
@@ -194,6 +194,8 @@
 const (
 	HeartbeatInterval = time.Second
 	HeartbeatTimeout  = 800 * time.Millisecond
+	// ConfigurationTimeout bounds the fetch of a configuration from another node.
+	ConfigurationTimeout = 3 * time.Second
 	// HeartbeatFailures is the number of failures in a row after which a member counts as failed.
 	HeartbeatFailures = 2
 	// FirstRingTargets is the number of heartbeat targets on the first of the two rings of a region's
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -89,7 +89,7 @@
 	updates, _ := translator.Members(request.GetNews())
 	for _, m := range append(updates, view.Members...) {
 		if m.Name == request.GetFrom() {
-			go e.options.Pull(m, view.Revision)
+			e.options.Pull(m, view.Revision)
 			return
 		}
 	}
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -40,6 +40,8 @@
 	Controller *controller.Controller
 	Client     *http.Client
 	Recorder   eelgrasspoint.Recorder
+	// Fetch fetches the configuration of a member if its revision is higher than after.
+	Fetch func(ctx context.Context, m eelgrasspoint.Member, after uint64)
 	// Witness advances the event clock past the time of a peer's event clock.
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
@@ -300,7 +302,7 @@
 		o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	}
 	if response.GetRevision() > view.Revision {
-		o.PullConfiguration(ctx, m, view.Revision)
+		o.options.Fetch(ctx, m, view.Revision)
 	}
 	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
 		// The member fetches the newer configuration only from a node whose entry it has. The second
@@ -326,17 +328,6 @@
 	}
 }
 
-// PullConfiguration fetches the configuration of a member if its revision is higher than
-// afterRevision, and submits it to the controller.
-func (o *Observer) PullConfiguration(ctx context.Context, m eelgrasspoint.Member, afterRevision uint64) {
-	o.options.Meter.CountExchange("Configuration")
-	response, err := o.client(m).Configuration(ctx, &schema.ConfigurationRequest{AfterRevision: afterRevision})
-	if err != nil || response.GetConfiguration() == nil {
-		return
-	}
-	o.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: translator.Configuration(response)})
-}
-
 // compareDigest synchronizes the members with those of m if the digests still differ while neither
 // node gossips updates, or if they differ and there are at least MaxUpdatesPerMessage updates.
 func (o *Observer) compareDigest(ctx context.Context, view *eelgrasspoint.MembershipView, m eelgrasspoint.Member, response *schema.ConverseResponse) {
--- a/event.go
+++ b/event.go
@@ -50,6 +50,7 @@
 	EventAnswerCutShort
 	EventHandlerPanicked
 	EventServerError
+	EventConfigurationNotFetched
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -51,7 +51,7 @@
 		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 		m := eelgrasspoint.Member{PeerAddress: address}
 		r.observer.SyncMembers(ctx, m)
-		r.observer.PullConfiguration(ctx, m, r.revision())
+		r.fetcher.Fetch(ctx, m, r.revision())
 		cancel()
 	}
 }
@@ -190,13 +190,6 @@
 	}
 }
 
-// pullConfiguration fetches the configuration from a peer if its revision is higher than after.
-func (r *Runner) pullConfiguration(m eelgrasspoint.Member, after uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.HeartbeatTimeout)
-	defer cancel()
-	r.observer.PullConfiguration(ctx, m, after)
-}
-
 // sleepJittered waits for 0.5 to 1.5 times the interval or until ctx ends. The jitter keeps nodes that
 // started together from making their calls at the same time.
 func (r *Runner) sleepJittered(ctx context.Context, interval time.Duration) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -21,6 +21,7 @@
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/exchanger"
 	"eelgrasspoint/coordination/executor"
+	"eelgrasspoint/coordination/fetcher"
 	"eelgrasspoint/coordination/forwarder"
 	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/coordination/observer"
@@ -59,6 +60,7 @@
 	quarantiner     *quarantiner.Quarantiner
 	executor        *executor.Executor
 	controller      *controller.Controller
+	fetcher         *fetcher.Fetcher
 	observer        *observer.Observer
 	table           eelgrasspoint.Table
 	source          eelgrasspoint.Source
@@ -164,8 +166,11 @@
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
 		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.InvalidateReports,
 	})
+	r.fetcher = fetcher.New(fetcher.Options{
+		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
+	})
 	r.observer = observer.New(observer.Options{
-		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder,
+		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
 		Witness: r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
@@ -192,7 +197,7 @@
 		})),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, Pull: r.pullConfiguration, Events: r.timelineEvents, Crashed: r.recordCrash,
+			Now: r.recorder.Now, Pull: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
 		})),
 		operators: schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
@@ -278,13 +283,12 @@
 	return retrier.SharedBudgetLimits(budget.Share, budget.Slack, r.nodeCount)
 }
 
-// catchUpFrom pulls the configuration from a candidate's node if its revision is higher than after, and
-// waits until it is in force.
+// catchUpFrom fetches the configuration from a candidate's node if its revision is higher than after, and
+// waits for HeartbeatTimeout at most until it is in force.
 func (r *Runner) catchUpFrom(ctx context.Context, from *eelgrasspoint.Candidate, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 	defer cancel()
-	r.observer.PullConfiguration(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
-	r.controller.WaitApplied()
+	r.fetcher.Fetch(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
 }
 
 func (r *Runner) random() *rand.Rand { return eelgrasspoint.NewRandom(r.options.Seed) }
