A stale route is answered when the newer configuration can't be fetched

Seen by callers: the connection was closed without an answer. The request had not run. Cause: an exit node refused the attempt as StaleRoute. fetchConfiguration emptied the list of tried candidates whatever the fetch brought; without a newer revision the code went on to recordRetry, which takes the last element of that list, and net/http ended the connection after the panic. Evidence, TestStaleRouteWhileExitNodeFails on the code before: the exit node is killed, cut off, or its connections are stalled or reset, half a millisecond after its refusal: http: panic serving 10.255.0.1:0: runtime error: index out of range [-1] forwarder.(*proxiedRequest).recordRetry <- tryRetry <- retryLoop <- runAttempts <- ServeHTTP 0 (got.status int) != 503: {status:0 outcome: reason: incomplete:true took:8500000} (took 808 ms where the fetch timed out). TestStaleRouteWithoutNewerConfiguration panics in the same place. Change: the list is emptied only if a newer revision is in force. Otherwise the refusal is handled like any other one that proves that nothing ran: the request goes to another candidate, which may have the same revision as the entry node, within MaxTotalAttempts and the deadline; without one, the caller gets 503. Why it works: the list has at least the refusing candidate then, and the candidate is not chosen again. Ruled out: the own node as the refusing one.

--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// fetchConfiguration fetches the configuration from the last candidate's node, at most once per request,
-// and makes all candidates eligible again. It reports whether the revision in force is now newer than the
-// request's.
+// fetchConfiguration fetches the configuration from the last candidate's node, at most once per request. It
+// reports whether the revision in force is now newer than the request's; if so, all candidates are eligible
+// again.
 func (p *proxiedRequest) fetchConfiguration(ctx context.Context) bool {
 	if p.configurationFetched {
 		return false
@@ -118,8 +118,11 @@
 	p.configurationFetched = true
 	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
 	p.snapshot = p.forwarder.Holder.Load()
+	if p.snapshot.Configuration.Revision <= p.meta.Revision {
+		return false
+	}
 	p.tried, p.overloaded = nil, nil
-	return p.snapshot.Configuration.Revision > p.meta.Revision
+	return true
 }
 
 // outgoingHeader returns the request headers that every attempt sends.
--- a/standin/proof/attempts_test.go
+++ b/standin/proof/attempts_test.go
@@ -169,3 +169,38 @@
 		})
 	}
 }
+
+// TestStaleRouteWhileExitNodeFails guards against a request that ends without an answer: its attempt
+// was refused as StaleRoute, and the exit node then failed before it could send its newer configuration.
+func TestStaleRouteWhileExitNodeFails(t *testing.T) {
+	// The refusal arrives at the entry node after refusedAfter; the request for the configuration leaves then.
+	const refusedAfter = 7 * time.Millisecond
+	cases := []struct {
+		name string
+		fail func(p *pair)
+	}{
+		{"gone", func(p *pair) { p.exit.KillNode() }},
+		{"silent", func(p *pair) { p.Network.Blackhole(p.exit.Host) }},
+		{"connections stalled", func(p *pair) { p.Network.StallConnections(p.exit.Host) }},
+		{"connections reset", func(p *pair) { p.Network.Reset(p.exit.Host) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withPair(t, backend.Behavior{}, func(t *testing.T, p *pair) {
+				response := p.Apply(t.Context(), p.exit, &schema.ApplyRequest{Remove: &schema.Removal{Routes: []string{"bookings"}}})
+				assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
+				failed := make(chan struct{})
+				go func() {
+					defer close(failed)
+					time.Sleep(refusedAfter + time.Millisecond/2)
+					c.fail(p)
+				}()
+				got := p.sendBooking("b", nil)
+				<-failed
+				assert.Equal(t, got.status, http.StatusServiceUnavailable, "%+v", got)
+				assert.Equal(t, got.reason, eelgrasspoint.StaleRoute.String())
+				assert.Equal(t, p.exit.Backend.Runs()["b"], 0)
+			})
+		})
+	}
+}
