A fetch of the configuration leaves time for another attempt

Seen by callers: a request whose attempt was refused as StaleRoute was answered up to 800 ms later, or only at its deadline, when the exit node did not send its configuration. With 400 ms for the request, a caller got 503 at 400 ms although another backend server would have answered. Cause: the fetch was bounded by HeartbeatTimeout and by the request's deadline only. Why it works: three quarters are left for another attempt, or for a new request of the caller after 503. Ruled out: no fetch for requests with little time. Most fetches take one round trip. Conclusion: requests with more than 3.2 s left wait 800 ms as before.

--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -108,6 +108,10 @@
 	}
 }
 
+// fetchTimeDivisor bounds a fetch of the configuration to this part of the time that the request has left, so
+// that another attempt is still possible if the fetch gets no response.
+const fetchTimeDivisor = 4
+
 // fetchConfiguration fetches the configuration from the last candidate's node, at most once per request. It
 // reports whether the revision in force is now newer than the request's; if so, all candidates are eligible
 // again.
@@ -116,6 +120,9 @@
 		return false
 	}
 	p.configurationFetched = true
+	timeLeft := eelgrasspoint.Remaining(p.meta.Deadline, p.forwarder.Clock())
+	ctx, cancel := context.WithTimeout(ctx, timeLeft/fetchTimeDivisor)
+	defer cancel()
 	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
 	p.snapshot = p.forwarder.Holder.Load()
 	if p.snapshot.Configuration.Revision <= p.meta.Revision {
--- a/coordination/forwarder/stale_test.go
+++ b/coordination/forwarder/stale_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,3 +42,29 @@
 		})
 	}
 }
+
+// TestFetchLeavesTimeForAnotherAttempt guards against a fetch of the configuration that gets no response and
+// takes all the time that the request has left.
+func TestFetchLeavesTimeForAnotherAttempt(t *testing.T) {
+	cases := []struct {
+		name   string
+		nodes  map[string]attemptFunc
+		status int
+	}{
+		{"another node answers", map[string]attemptFunc{"b": refuse(eelgrasspoint.StaleRoute), "c": answer(http.StatusOK)}, http.StatusOK},
+		{"no other node", map[string]attemptFunc{"b": refuse(eelgrasspoint.StaleRoute)}, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit = 400 * time.Millisecond
+				e := newEntry(&eelgrasspoint.Route{TimeLimit: limit}, c.nodes)
+				e.fetch = func(ctx context.Context, _ *eelgrasspoint.Candidate, _ uint64) { <-ctx.Done() }
+				began := time.Now()
+				got := e.send()
+				assert.Equal(t, got.status, c.status)
+				assert.Assert(t, time.Since(began) <= limit/2, "answered after %v", time.Since(began))
+			})
+		})
+	}
+}
--- a/standin/proof/attempts_test.go
+++ b/standin/proof/attempts_test.go
@@ -170,11 +170,12 @@
 	}
 }
 
-// TestStaleRouteWhileExitNodeFails guards against a request that ends without an answer: its attempt
-// was refused as StaleRoute, and the exit node then failed before it could send its newer configuration.
+// TestStaleRouteWhileExitNodeFails guards against a request that ends without an answer, or only at its
+// deadline: its attempt was refused as StaleRoute, and the exit node then failed before it could send its
+// newer configuration.
 func TestStaleRouteWhileExitNodeFails(t *testing.T) {
 	// The refusal arrives at the entry node after refusedAfter; the request for the configuration leaves then.
-	const refusedAfter = 7 * time.Millisecond
+	const refusedAfter, timeout = 7 * time.Millisecond, time.Second
 	cases := []struct {
 		name string
 		fail func(p *pair)
@@ -195,10 +196,11 @@
 					time.Sleep(refusedAfter + time.Millisecond/2)
 					c.fail(p)
 				}()
-				got := p.sendBooking("b", nil)
+				got := p.sendBooking("b", http.Header{eelgrasspoint.HeaderTimeout: {timeout.String()}})
 				<-failed
 				assert.Equal(t, got.status, http.StatusServiceUnavailable, "%+v", got)
 				assert.Equal(t, got.reason, eelgrasspoint.StaleRoute.String())
+				assert.Assert(t, got.took < timeout/2, "answered after %v", got.took)
 				assert.Equal(t, p.exit.Backend.Runs()["b"], 0)
 			})
 		})
