The result of an attempt carries its candidate

Seen by callers: idempotent requests on routes with hedging got 502 or 503 although a backend server that had refused only because of its load could have answered. In the log, RequestRetried, RequestAnswered and the other ends named the exit node of the hedge when the first attempt ended last. Cause: five places took the last of the tried candidates for the one whose attempt had ended. After a hedge it need not be: the configuration was fetched from a node that had refused nothing, and the wrong candidate became eligible again. The refusal of the first of two attempts to end was not noted at all. The same index is what panicked when the list was empty. Why it works: no place infers the candidate from the order of the attempts, and none indexes the list.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -10,9 +10,16 @@
 	"eelgrasspoint/coordination/retrier"
 )
 
+// attemptResult is the end of an attempt at its candidate, with an answer or an error.
+type attemptResult struct {
+	candidate *eelgrasspoint.Candidate
+	answer    *eelgrasspoint.Answer
+	err       error
+}
+
 // send sends the request to the candidate, hedged if the route enables hedging, the request is
 // idempotent and its body is buffered.
-func (p *proxiedRequest) send(ctx context.Context, candidate *eelgrasspoint.Candidate) (*eelgrasspoint.Answer, error) {
+func (p *proxiedRequest) send(ctx context.Context, candidate *eelgrasspoint.Candidate) attemptResult {
 	if p.matchedRoute.Hedge && p.meta.Idempotent && p.body.Complete() {
 		return p.hedge(ctx, candidate)
 	}
@@ -20,8 +27,23 @@
 }
 
 // attempt sends the request to one candidate without hedging.
-func (p *proxiedRequest) attempt(ctx context.Context, candidate *eelgrasspoint.Candidate, body io.ReadCloser) (*eelgrasspoint.Answer, error) {
-	return p.roundTrip(ctx, candidate, p.newAttempt(candidate), body)
+func (p *proxiedRequest) attempt(ctx context.Context, candidate *eelgrasspoint.Candidate, body io.ReadCloser) attemptResult {
+	answer, err := p.roundTrip(ctx, candidate, p.newAttempt(candidate), body)
+	result := attemptResult{candidate: candidate, answer: answer, err: err}
+	p.noteEnd(result)
+	return result
+}
+
+// noteEnd notes that an attempt ended. A candidate that refused because of its load is added to overloaded.
+func (p *proxiedRequest) noteEnd(result attemptResult) {
+	p.lastEnded = result.candidate
+	if result.err == nil {
+		return
+	}
+	switch eelgrasspoint.AsOutcome(result.err).Reason {
+	case eelgrasspoint.SlowServer, eelgrasspoint.Overloaded:
+		p.overloaded = append(p.overloaded, result.candidate)
+	}
 }
 
 // newAttempt counts a new attempt and returns its metadata. Insists asks the exit node to queue the request
--- a/coordination/forwarder/entry_test.go
+++ b/coordination/forwarder/entry_test.go
@@ -50,6 +50,30 @@
 	}
 }
 
+// after ends an attempt like end, but only after a delay.
+func after(delay time.Duration, end attemptFunc) attemptFunc {
+	return func(ctx context.Context, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+		select {
+		case <-time.After(delay):
+			return end(ctx, attempt)
+		case <-ctx.Done():
+			return nil, &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.LostReason(ctx)}
+		}
+	}
+}
+
+// inTurn ends the first attempt like the first function, the second like the second, and so on.
+func inTurn(ends ...attemptFunc) attemptFunc {
+	var mu sync.Mutex
+	return func(ctx context.Context, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+		mu.Lock()
+		end := ends[0]
+		ends = ends[1:]
+		mu.Unlock()
+		return end(ctx, attempt)
+	}
+}
+
 // sentAttempt is an attempt as its node received it.
 type sentAttempt struct {
 	node     string
@@ -155,6 +179,24 @@
 	return nodes
 }
 
+// exitNodes returns the ExitNode of each event with the number.
+func (e *entry) exitNodes(number eelgrasspoint.EventNumber) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var nodes []string
+	for _, event := range e.events {
+		if event.Number != number {
+			continue
+		}
+		for _, input := range event.Inputs {
+			if input.Name == "ExitNode" {
+				nodes = append(nodes, input.Value.(string))
+			}
+		}
+	}
+	return nodes
+}
+
 // entryResult is what the caller of an entry node got.
 type entryResult struct {
 	status          int
--- a/coordination/forwarder/events.go
+++ b/coordination/forwarder/events.go
@@ -22,10 +22,8 @@
 	})
 }
 
-// recordRetry records why the last attempt failed, with the last load hint of the candidate that was tried
-// last. After a hedge, that may be another candidate than the one that failed.
-func (p *proxiedRequest) recordRetry(lastErr *eelgrasspoint.OutcomeError) {
-	candidate := p.tried[len(p.tried)-1]
+// recordRetry records why the attempt at the candidate failed, with the candidate's last load hint.
+func (p *proxiedRequest) recordRetry(candidate *eelgrasspoint.Candidate, lastErr *eelgrasspoint.OutcomeError) {
 	load, at := candidate.Gauge.Load()
 	inputs := []eelgrasspoint.Input{
 		{Name: "ExitNode", Value: candidate.Node},
@@ -41,7 +39,7 @@
 }
 
 // recordEnd records the result of the request: status, time until the answer or error was available
-// (without relaying it), time left before the deadline and last exit node.
+// (without relaying it), time left before the deadline and exit node of the attempt that ended last.
 func (p *proxiedRequest) recordEnd(number eelgrasspoint.EventNumber, detail string, start time.Time, status int) {
 	now := p.forwarder.Clock()
 	inputs := []eelgrasspoint.Input{
@@ -50,8 +48,8 @@
 	if !p.meta.Deadline.IsZero() {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "LeftMilliseconds", Value: p.meta.Deadline.Sub(now).Milliseconds()})
 	}
-	if len(p.tried) > 0 {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "ExitNode", Value: p.tried[len(p.tried)-1].Node})
+	if p.lastEnded != nil {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "ExitNode", Value: p.lastEnded.Node})
 	}
 	p.record(number, detail, inputs...)
 }
--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -12,8 +12,7 @@
 
 // hedgedAttempt is one of two concurrent attempts of a request.
 type hedgedAttempt struct {
-	answer *eelgrasspoint.Answer
-	err    error
+	attemptResult
 	cancel context.CancelFunc
 }
 
@@ -24,7 +23,7 @@
 // hedge sends the request to a second candidate if the first has not answered within hedgeDelay. The
 // first answer is returned, or the last error if no attempt is answered; the other attempt is canceled and
 // its answer discarded.
-func (p *proxiedRequest) hedge(ctx context.Context, first *eelgrasspoint.Candidate) (*eelgrasspoint.Answer, error) {
+func (p *proxiedRequest) hedge(ctx context.Context, first *eelgrasspoint.Candidate) attemptResult {
 	done := make(chan *hedgedAttempt, 2)
 	running := []*hedgedAttempt{p.startAttempt(ctx, first, done)}
 	timer := time.NewTimer(p.hedgeDelay(first))
@@ -32,6 +31,7 @@
 	for {
 		select {
 		case a := <-done:
+			p.noteEnd(a.attemptResult)
 			running = slices.DeleteFunc(running, func(other *hedgedAttempt) bool { return other == a })
 			if a.err == nil || len(running) == 0 {
 				// The canceled attempts may have reached their backend servers.
@@ -66,7 +66,7 @@
 func (p *proxiedRequest) startAttempt(ctx context.Context, candidate *eelgrasspoint.Candidate, done chan<- *hedgedAttempt) *hedgedAttempt {
 	ctx, cancel := context.WithCancel(ctx)
 	meta := p.newAttempt(candidate)
-	a := &hedgedAttempt{cancel: cancel}
+	a := &hedgedAttempt{attemptResult: attemptResult{candidate: candidate}, cancel: cancel}
 	go func() {
 		a.answer, a.err = p.roundTrip(ctx, candidate, meta, p.body.NewSharedReader())
 		done <- a
@@ -81,13 +81,13 @@
 
 // bindCancel returns the attempt's result. The attempt's context is canceled when the answer's body is
 // closed, or at once after an error.
-func bindCancel(a *hedgedAttempt) (*eelgrasspoint.Answer, error) {
+func bindCancel(a *hedgedAttempt) attemptResult {
 	if a.err != nil {
 		a.cancel()
-		return nil, a.err
+		return a.attemptResult
 	}
 	a.answer.Response.Body = &cancelingBody{ReadCloser: a.answer.Response.Body, cancel: a.cancel}
-	return a.answer, nil
+	return a.attemptResult
 }
 
 // cancelingBody cancels its attempt's context when it is closed.
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -27,8 +27,11 @@
 	body         *replayer.Replayer
 	header       http.Header
 	tried        []*eelgrasspoint.Candidate
-	start        time.Time
-	attempts     int
+	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
+	// are concurrent with a hedge.
+	lastEnded *eelgrasspoint.Candidate
+	start     time.Time
+	attempts  int
 	// deliveredAttempts counts the attempts that may have reached a backend server; events name it Arrivals.
 	deliveredAttempts atomic.Int32
 	// overloaded are the candidates that refused the request because of their load (SlowServer or
@@ -88,21 +91,21 @@
 		if candidate == nil {
 			return nil, p.noCandidateError(lastErr)
 		}
-		answer, err := p.send(ctx, candidate)
-		if err == nil && !p.retryServerError(answer) {
-			return answer, nil
+		result := p.send(ctx, candidate)
+		if result.err == nil && !p.retryServerError(result) {
+			return result.answer, nil
 		}
-		if err == nil {
+		if result.err == nil {
 			continue
 		}
-		lastErr = p.attemptError(err)
-		if lastErr.Reason == eelgrasspoint.StaleRoute && p.fetchConfiguration(ctx) {
+		lastErr = p.attemptError(result.err)
+		if lastErr.Reason == eelgrasspoint.StaleRoute && p.fetchConfiguration(ctx, result.candidate) {
 			if err := p.matchRoute(); err != nil {
 				return nil, err
 			}
 			continue
 		}
-		if !p.tryRetry(lastErr) {
+		if !p.tryRetry(result.candidate, lastErr) {
 			return nil, lastErr
 		}
 	}
@@ -112,10 +115,9 @@
 // that another attempt is still possible if the fetch gets no response.
 const fetchTimeDivisor = 4
 
-// fetchConfiguration fetches the configuration from the last candidate's node, at most once per request. It
-// reports whether the revision in force is now newer than the request's; if so, all candidates are eligible
-// again.
-func (p *proxiedRequest) fetchConfiguration(ctx context.Context) bool {
+// fetchConfiguration fetches the configuration from the candidate's node, at most once per request. It reports
+// whether the revision in force is now newer than the request's; if so, all candidates are eligible again.
+func (p *proxiedRequest) fetchConfiguration(ctx context.Context, from *eelgrasspoint.Candidate) bool {
 	if p.configurationFetched {
 		return false
 	}
@@ -123,7 +125,7 @@
 	timeLeft := eelgrasspoint.Remaining(p.meta.Deadline, p.forwarder.Clock())
 	ctx, cancel := context.WithTimeout(ctx, timeLeft/fetchTimeDivisor)
 	defer cancel()
-	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
+	p.forwarder.CatchUp(ctx, from, p.meta.Revision)
 	p.snapshot = p.forwarder.Holder.Load()
 	if p.snapshot.Configuration.Revision <= p.meta.Revision {
 		return false
@@ -157,10 +159,10 @@
 	return &eelgrasspoint.OutcomeError{Outcome: outcome.Outcome, Reason: reason, Detail: bodyErr.Error()}
 }
 
-// tryRetry reports whether the request is sent again after lastErr. If so, it takes a token, if one is
-// left, from the budget of the next attempt's purpose and records the event. A candidate that refused
-// because of its load is added to overloaded.
-func (p *proxiedRequest) tryRetry(lastErr *eelgrasspoint.OutcomeError) bool {
+// tryRetry reports whether the request is sent again after lastErr, the end of the attempt at the candidate.
+// If so, it takes a token, if one is left, from the budget of the next attempt's purpose and records the
+// event.
+func (p *proxiedRequest) tryRetry(candidate *eelgrasspoint.Candidate, lastErr *eelgrasspoint.OutcomeError) bool {
 	failure := retrier.Failure{
 		Err: lastErr, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
 		Attempts: int(p.deliveredAttempts.Load()), MaxAttempts: int(p.matchedRoute.MaxAttempts), Deadline: p.meta.Deadline,
@@ -172,31 +174,29 @@
 	if p.queueRequested && p.queueTimePassed() {
 		return false
 	}
-	if lastErr.Reason == eelgrasspoint.SlowServer || lastErr.Reason == eelgrasspoint.Overloaded {
-		p.overloaded = append(p.overloaded, p.tried[len(p.tried)-1])
-	}
 	// A redirect goes ahead even without budget, since the last attempt reached no backend server.
 	if !p.forwarder.Retrier.TryWithdraw(p.meta.Service, purpose) && purpose != retrier.Redirect {
 		return false
 	}
-	p.recordRetry(lastErr)
+	p.recordRetry(candidate, lastErr)
 	return true
 }
 
 // retryServerError reports whether an answer with a 5xx status is replaced by another attempt, and closes
 // the answer if so. It is replaced if the request is idempotent, no attempt but the answered one may have
 // reached a backend server, there is another candidate, and tryRetry returns true.
-func (p *proxiedRequest) retryServerError(answer *eelgrasspoint.Answer) bool {
-	if !isServerError(answer.Response.StatusCode) || p.deliveredAttempts.Load() > 1 || !p.meta.Idempotent {
+func (p *proxiedRequest) retryServerError(result attemptResult) bool {
+	response := result.answer.Response
+	if !isServerError(response.StatusCode) || p.deliveredAttempts.Load() > 1 || !p.meta.Idempotent {
 		return false
 	}
 	if p.choose() == nil {
 		return false
 	}
-	if !p.tryRetry(&eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun}) {
+	if !p.tryRetry(result.candidate, &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun}) {
 		return false
 	}
-	answer.Response.Body.Close()
+	response.Body.Close()
 	p.mayHaveRun.Store(true)
 	return true
 }
