An attempt after a stale route passes the same checks as any other

Seen by callers: a request whose earlier attempt may have run was sent again although its route no longer allows that: a request that is not idempotent could run twice, and one ran on more backend servers than the route's MaxAttempts. A long body that can't be read again ended in 502 instead of 503. No RequestRetried line named the refusal. Cause: once the entry node had fetched a newer revision, retryLoop went on with the next attempt without tryRetry. Its checks of MaxAttempts, of the body, of the deadline and of MaxTotalAttempts, the budget and the event were left out. tryRetry itself looked only at the last attempt: where the earlier revision's route was idempotent and the newer one's is not, an attempt before the last one may have run. Evidence, TestNewerRouteIsApplied on the code before, attempts and status: no longer idempotent, fewer attempts: b, c, b instead of b, c most attempts of a request: 7 instead of 6 body that can't be read again: 502 (got.status int) != 503 {outcome:MayHaveRun reason:ConnectionLost} Change: refreshRoute fetches and matches the route; tryRetry then decides with the newer route's limits, and refuses to repeat a request that may have run and is not idempotent. If a newer revision is in force already, it is used without a fetch, also after the one fetch per request: TestNewerRevisionAlreadyInForce got 503. Why it works: one function decides on every attempt after the first. The loop ends: each turn counts against MaxTotalAttempts. Ruled out: hedges, regions, service, weight, kind and target latency; they already follow the newer route.

--- a/coordination/forwarder/entry_test.go
+++ b/coordination/forwarder/entry_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// readBody ends an attempt like end once it has read the body.
+func readBody(end attemptFunc) attemptFunc {
+	return func(ctx context.Context, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+		if _, err := io.ReadAll(attempt.Body); err != nil {
+			return nil, err
+		}
+		return end(ctx, attempt)
+	}
+}
+
 // inTurn ends the first attempt like the first function, the second like the second, and so on.
 func inTurn(ends ...attemptFunc) attemptFunc {
 	var mu sync.Mutex
@@ -114,7 +124,7 @@
 	return e
 }
 
-// publish puts a revision with one route in force.
+// publish puts a revision with one route in force. Nodes whose name begins with there are in another region.
 func (e *entry) publish(revision uint64, route *eelgrasspoint.Route) {
 	route.Name, route.PathPrefix = routeName, "/"
 	if route.Service == "" {
@@ -125,7 +135,11 @@
 	}
 	var candidates []*eelgrasspoint.Candidate
 	for name := range e.nodes {
-		candidates = append(candidates, &eelgrasspoint.Candidate{Node: name, Region: "here", Gauge: &eelgrasspoint.ServerStats{}})
+		region := "here"
+		if strings.HasPrefix(name, "there") {
+			region = "there"
+		}
+		candidates = append(candidates, &eelgrasspoint.Candidate{Node: name, Region: region, Gauge: &eelgrasspoint.ServerStats{}})
 	}
 	slices.SortFunc(candidates, func(a, b *eelgrasspoint.Candidate) int { return strings.Compare(a.Node, b.Node) })
 	e.holder.Publish(&eelgrasspoint.Snapshot{
@@ -205,8 +219,12 @@
 
 // send sends a request without a body to the entry node.
 func (e *entry) send() entryResult {
+	return e.sendRequest(httptest.NewRequest(http.MethodGet, "/1", nil))
+}
+
+func (e *entry) sendRequest(r *http.Request) entryResult {
 	w := httptest.NewRecorder()
-	e.handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/1", nil))
+	e.handler.ServeHTTP(w, r)
 	var body responder.ErrorResponse
 	_ = json.Unmarshal(w.Body.Bytes(), &body)
 	return entryResult{status: w.Code, outcome: w.Header().Get(eelgrasspoint.HeaderOutcome), reason: body.Reason}
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -99,11 +99,10 @@
 			continue
 		}
 		lastErr = p.attemptError(result.err)
-		if lastErr.Reason == eelgrasspoint.StaleRoute && p.fetchConfiguration(ctx, result.candidate) {
-			if err := p.matchRoute(); err != nil {
+		if lastErr.Reason == eelgrasspoint.StaleRoute {
+			if err := p.refreshRoute(ctx, result.candidate); err != nil {
 				return nil, err
 			}
-			continue
 		}
 		if !p.tryRetry(result.candidate, lastErr) {
 			return nil, lastErr
@@ -115,23 +114,36 @@
 // that another attempt is still possible if the fetch gets no response.
 const fetchTimeDivisor = 4
 
-// fetchConfiguration fetches the configuration from the candidate's node, at most once per request. It reports
-// whether the revision in force is now newer than the request's; if so, all candidates are eligible again.
-func (p *proxiedRequest) fetchConfiguration(ctx context.Context, from *eelgrasspoint.Candidate) bool {
+// refreshRoute matches the request to a route again if the revision in force is newer than the request's; all
+// candidates are eligible again then. If it is not newer, the configuration is fetched from the candidate's
+// node first. The error is the refusal of the newer revision.
+func (p *proxiedRequest) refreshRoute(ctx context.Context, from *eelgrasspoint.Candidate) *eelgrasspoint.OutcomeError {
+	if !p.hasNewerRevision() {
+		p.fetchConfiguration(ctx, from)
+	}
+	if !p.hasNewerRevision() {
+		return nil
+	}
+	p.tried, p.overloaded = nil, nil
+	return p.matchRoute()
+}
+
+// hasNewerRevision reloads the snapshot and reports whether its revision is newer than the request's.
+func (p *proxiedRequest) hasNewerRevision() bool {
+	p.snapshot = p.forwarder.Holder.Load()
+	return p.snapshot.Configuration.Revision > p.meta.Revision
+}
+
+// fetchConfiguration fetches the configuration from the candidate's node, at most once per request.
+func (p *proxiedRequest) fetchConfiguration(ctx context.Context, from *eelgrasspoint.Candidate) {
 	if p.configurationFetched {
-		return false
+		return
 	}
 	p.configurationFetched = true
 	timeLeft := eelgrasspoint.Remaining(p.meta.Deadline, p.forwarder.Clock())
 	ctx, cancel := context.WithTimeout(ctx, timeLeft/fetchTimeDivisor)
 	defer cancel()
 	p.forwarder.CatchUp(ctx, from, p.meta.Revision)
-	p.snapshot = p.forwarder.Holder.Load()
-	if p.snapshot.Configuration.Revision <= p.meta.Revision {
-		return false
-	}
-	p.tried, p.overloaded = nil, nil
-	return true
 }
 
 // outgoingHeader returns the request headers that every attempt sends.
@@ -170,6 +182,10 @@
 	if !retrier.MayRetry(failure, p.forwarder.Clock()) || p.attempts >= eelgrasspoint.MaxTotalAttempts {
 		return false
 	}
+	// The route of a newer revision may not be idempotent, as that of the earlier attempts was.
+	if p.mayHaveRun.Load() && !p.meta.Idempotent {
+		return false
+	}
 	purpose := retrier.PurposeOf(lastErr)
 	if p.queueRequested && p.queueTimePassed() {
 		return false
--- a/coordination/forwarder/stale_test.go
+++ b/coordination/forwarder/stale_test.go
@@ -1,8 +1,12 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,3 +72,120 @@
 		})
 	}
 }
+
+// TestNewerRouteIsApplied guards against an attempt that follows the limits of the route of an earlier revision
+// after the entry node has fetched a newer one.
+func TestNewerRouteIsApplied(t *testing.T) {
+	stale, lost := refuse(eelgrasspoint.StaleRoute), fail(eelgrasspoint.MayHaveRun, eelgrasspoint.ConnectionLost)
+	ok := answer(http.StatusOK)
+	notReady := refuse(eelgrasspoint.NotReady)
+	cases := []struct {
+		name          string
+		before, after eelgrasspoint.Route
+		nodes         map[string]attemptFunc
+		body          io.Reader
+		status        int
+		attempts      []string
+	}{
+		{
+			name: "hedged", after: eelgrasspoint.Route{Idempotent: true, Hedge: true},
+			nodes:  map[string]attemptFunc{"b": inTurn(stale, after(time.Second, ok)), "c": after(100*time.Millisecond, ok)},
+			status: http.StatusOK, attempts: []string{"b", "b", "c"},
+		},
+		{
+			name: "no longer hedged", before: eelgrasspoint.Route{Idempotent: true, Hedge: true}, after: eelgrasspoint.Route{Idempotent: true},
+			nodes:  map[string]attemptFunc{"b": inTurn(stale, after(100*time.Millisecond, ok)), "c": ok},
+			status: http.StatusOK, attempts: []string{"b", "b"},
+		},
+		{
+			name: "fewer attempts", before: eelgrasspoint.Route{Idempotent: true}, after: eelgrasspoint.Route{Idempotent: true, MaxAttempts: 1},
+			nodes:  map[string]attemptFunc{"b": lost, "c": inTurn(stale, ok)},
+			status: http.StatusBadGateway, attempts: []string{"b", "c"},
+		},
+		{
+			name: "no longer idempotent", before: eelgrasspoint.Route{Idempotent: true},
+			nodes:  map[string]attemptFunc{"b": lost, "c": inTurn(stale, ok)},
+			status: http.StatusBadGateway, attempts: []string{"b", "c"},
+		},
+		{
+			name: "still idempotent", before: eelgrasspoint.Route{Idempotent: true}, after: eelgrasspoint.Route{Idempotent: true},
+			nodes:  map[string]attemptFunc{"b": inTurn(lost, ok), "c": stale},
+			status: http.StatusOK, attempts: []string{"b", "c", "b"},
+		},
+		{
+			name:   "most attempts of a request",
+			nodes:  map[string]attemptFunc{"b": notReady, "c": notReady, "d": notReady, "e": notReady, "f": notReady, "g": inTurn(stale, ok)},
+			status: http.StatusServiceUnavailable, attempts: []string{"b", "c", "d", "e", "f", "g"},
+		},
+		{
+			name: "body that can't be read again", body: io.MultiReader(bytes.NewReader(make([]byte, 2*eelgrasspoint.MaxReplayBytes))),
+			nodes:  map[string]attemptFunc{"b": inTurn(readBody(stale), readBody(ok))},
+			status: http.StatusServiceUnavailable, attempts: []string{"b"},
+		},
+		{
+			name: "bound to another region", after: eelgrasspoint.Route{HomeRegions: []string{"there"}},
+			nodes:  map[string]attemptFunc{"b": stale, "there-c": ok},
+			status: http.StatusOK, attempts: []string{"b", "there-c"},
+		},
+		{
+			name: "bound to a region without nodes", after: eelgrasspoint.Route{HomeRegions: []string{"nowhere"}},
+			nodes:  map[string]attemptFunc{"b": stale, "there-c": ok},
+			status: http.StatusServiceUnavailable, attempts: []string{"b"},
+		},
+		{
+			name:   "another service",
+			after:  eelgrasspoint.Route{Service: "bench", Kind: "booking", Weight: 5, TargetLatency: time.Second, MaxAttempts: 1},
+			nodes:  map[string]attemptFunc{"b": inTurn(stale, ok)},
+			status: http.StatusOK, attempts: []string{"b", "b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEntry(&c.before, c.nodes)
+				e.fetch = func(context.Context, *eelgrasspoint.Candidate, uint64) {
+					time.Sleep(10 * time.Millisecond)
+					e.publish(2, &c.after)
+				}
+				r := httptest.NewRequest(http.MethodPost, "/1", c.body)
+				got := e.sendRequest(r)
+				assert.Equal(t, got.status, c.status, "%+v", got)
+				assert.DeepEqual(t, e.attemptedNodes(), c.attempts)
+				last := e.attempts[len(e.attempts)-1]
+				if got.status == http.StatusOK {
+					assert.Equal(t, last.meta.Revision, uint64(2))
+					assert.Equal(t, last.meta.Service, c.after.Service)
+					assert.Equal(t, last.meta.Kind, c.after.Kind)
+					assert.Equal(t, last.meta.Weight, c.after.Weight)
+					assert.Equal(t, last.meta.Idempotent, c.after.Idempotent)
+					assert.Equal(t, last.meta.Hedge, c.after.Hedge)
+					assert.Equal(t, last.meta.TargetLatency, c.after.TargetLatency)
+					assert.DeepEqual(t, last.meta.Permitted, c.after.HomeRegions)
+					// Events of requests that are bound to another region are not recorded here.
+					recorded := slices.Contains(e.exitNodes(eelgrasspoint.EventRequestRetried), e.fetchedFrom[0])
+					assert.Equal(t, recorded, len(c.after.HomeRegions) == 0)
+				}
+			})
+		})
+	}
+}
+
+// TestNewerRevisionAlreadyInForce guards against a fetch, or a refusal, while a newer revision than that of the
+// request is in force already.
+func TestNewerRevisionAlreadyInForce(t *testing.T) {
+	stale := refuse(eelgrasspoint.StaleRoute)
+	var e *entry
+	publish := func(revision uint64, end attemptFunc) attemptFunc {
+		return func(ctx context.Context, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+			e.publish(revision, &eelgrasspoint.Route{})
+			return end(ctx, attempt)
+		}
+	}
+	e = newEntry(&eelgrasspoint.Route{}, map[string]attemptFunc{
+		"b": inTurn(publish(2, stale), publish(3, stale), answer(http.StatusOK)),
+	})
+	e.fetch = fetchNothing
+	assert.Equal(t, e.send().status, http.StatusOK)
+	assert.DeepEqual(t, e.attemptedNodes(), []string{"b", "b", "b"})
+	assert.Equal(t, len(e.fetchedFrom), 0)
+}
