A request gets the time limit of the newer route

Seen by callers: after a fetch of a newer configuration, an answer was awaited for longer than the time limit of the route in force, or the request was given up before it. Cause: the deadline was set once, from the route that matched at the request's arrival. Each attempt has a context of its own with that deadline; it ends when the answer's body is closed, as for hedged attempts before. Why it works: the deadline in the metadata and that of the context come from the route that is applied. Ruled out: shortening only. A caller's own timeout bounds the deadline in any case, and the refused attempt reached no backend server.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -28,10 +28,11 @@
 
 // attempt sends the request to one candidate without hedging.
 func (p *proxiedRequest) attempt(ctx context.Context, candidate *eelgrasspoint.Candidate, body io.ReadCloser) attemptResult {
+	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
 	answer, err := p.roundTrip(ctx, candidate, p.newAttempt(candidate), body)
 	result := attemptResult{candidate: candidate, answer: answer, err: err}
 	p.noteEnd(result)
-	return result
+	return bindCancel(result, cancel)
 }
 
 // noteEnd notes that an attempt ended. A candidate that refused because of its load is added to overloaded.
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -70,9 +70,7 @@
 		f.respondError(w, p, start, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), p.meta.Deadline)
-	defer cancel()
-	answer, err := p.runAttempts(ctx)
+	answer, err := p.runAttempts(r.Context())
 	if err != nil {
 		f.respondError(w, p, start, err)
 		return
@@ -90,6 +88,7 @@
 		snapshot:  f.Holder.Load(),
 		request:   r,
 		start:     now,
+		timeout:   callOptions.Timeout,
 		meta:      eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
 	}
@@ -100,7 +99,6 @@
 	if err := p.matchRoute(); err != nil {
 		return p, err
 	}
-	p.meta.Deadline = now.Add(timeLimit(p.matchedRoute, callOptions.Timeout))
 	if r.ContentLength > f.MaxBodyBytes {
 		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyTooLarge, "")
 	}
--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -37,7 +37,7 @@
 				// The canceled attempts may have reached their backend servers.
 				p.deliveredAttempts.Add(int32(len(running)))
 				cancelRest(running, done)
-				return bindCancel(a)
+				return bindCancel(a.attemptResult, a.cancel)
 			}
 			a.cancel()
 		case <-timer.C:
@@ -64,7 +64,7 @@
 }
 
 func (p *proxiedRequest) startAttempt(ctx context.Context, candidate *eelgrasspoint.Candidate, done chan<- *hedgedAttempt) *hedgedAttempt {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
 	meta := p.newAttempt(candidate)
 	a := &hedgedAttempt{attemptResult: attemptResult{candidate: candidate}, cancel: cancel}
 	go func() {
@@ -79,15 +79,16 @@
 	return max(eelgrasspoint.MinHedgeDelay, hedgeLatencyFactor*latency)
 }
 
-// bindCancel returns the attempt's result. The attempt's context is canceled when the answer's body is
-// closed, or at once after an error.
-func bindCancel(a *hedgedAttempt) attemptResult {
-	if a.err != nil {
-		a.cancel()
-		return a.attemptResult
+// bindCancel returns the result of an attempt, whose context is canceled when the answer's body is closed, or
+// at once after an error.
+func bindCancel(result attemptResult, cancel context.CancelFunc) attemptResult {
+	if result.err != nil {
+		cancel()
+		return result
 	}
-	a.answer.Response.Body = &cancelingBody{ReadCloser: a.answer.Response.Body, cancel: a.cancel}
-	return a.attemptResult
+	response := result.answer.Response
+	response.Body = &cancelingBody{ReadCloser: response.Body, cancel: cancel}
+	return result
 }
 
 // cancelingBody cancels its attempt's context when it is closed.
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -31,7 +31,9 @@
 	// are concurrent with a hedge.
 	lastEnded *eelgrasspoint.Candidate
 	start     time.Time
-	attempts  int
+	// timeout is the one that the caller set, or zero.
+	timeout  time.Duration
+	attempts int
 	// deliveredAttempts counts the attempts that may have reached a backend server; events name it Arrivals.
 	deliveredAttempts atomic.Int32
 	// overloaded are the candidates that refused the request because of their load (SlowServer or
@@ -46,8 +48,8 @@
 	mayHaveRun atomic.Bool
 }
 
-// matchRoute sets the route, the service and the permitted regions of the request, or returns a
-// refusal.
+// matchRoute sets the route, the service, the permitted regions and the deadline of the request, or returns
+// a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
 	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
@@ -67,6 +69,7 @@
 	if !allowed {
 		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 	}
+	p.meta.Deadline = p.start.Add(timeLimit(p.matchedRoute, p.timeout))
 	return nil
 }
 
--- a/coordination/forwarder/stale_test.go
+++ b/coordination/forwarder/stale_test.go
@@ -86,11 +86,30 @@
 		body          io.Reader
 		status        int
 		attempts      []string
+		// timeout is the caller's, timeLimit that of the last attempt.
+		timeout   string
+		timeLimit time.Duration
 	}{
 		{
-			name: "hedged", after: eelgrasspoint.Route{Idempotent: true, Hedge: true},
+			name: "shorter time limit", before: eelgrasspoint.Route{TimeLimit: 5 * time.Second}, after: eelgrasspoint.Route{TimeLimit: time.Second},
+			nodes:  map[string]attemptFunc{"b": inTurn(stale, ok)},
+			status: http.StatusOK, attempts: []string{"b", "b"}, timeLimit: time.Second,
+		},
+		{
+			name: "longer time limit", before: eelgrasspoint.Route{TimeLimit: time.Second}, after: eelgrasspoint.Route{TimeLimit: 5 * time.Second},
+			nodes:  map[string]attemptFunc{"b": inTurn(stale, ok)},
+			status: http.StatusOK, attempts: []string{"b", "b"}, timeLimit: 5 * time.Second,
+		},
+		{
+			name: "longer time limit than the caller's", before: eelgrasspoint.Route{TimeLimit: time.Second}, after: eelgrasspoint.Route{TimeLimit: 5 * time.Second},
+			nodes: map[string]attemptFunc{"b": inTurn(stale, ok)}, timeout: "2s",
+			status: http.StatusOK, attempts: []string{"b", "b"}, timeLimit: 2 * time.Second,
+		},
+		{
+			name: "hedged with a longer time limit", before: eelgrasspoint.Route{TimeLimit: time.Second},
+			after:  eelgrasspoint.Route{TimeLimit: 5 * time.Second, Idempotent: true, Hedge: true},
 			nodes:  map[string]attemptFunc{"b": inTurn(stale, after(time.Second, ok)), "c": after(100*time.Millisecond, ok)},
-			status: http.StatusOK, attempts: []string{"b", "b", "c"},
+			status: http.StatusOK, attempts: []string{"b", "b", "c"}, timeLimit: 5 * time.Second,
 		},
 		{
 			name: "no longer hedged", before: eelgrasspoint.Route{Idempotent: true, Hedge: true}, after: eelgrasspoint.Route{Idempotent: true},
@@ -148,10 +167,16 @@
 					e.publish(2, &c.after)
 				}
 				r := httptest.NewRequest(http.MethodPost, "/1", c.body)
+				r.Header.Set(eelgrasspoint.HeaderTimeout, c.timeout)
+				start := time.Now()
 				got := e.sendRequest(r)
 				assert.Equal(t, got.status, c.status, "%+v", got)
 				assert.DeepEqual(t, e.attemptedNodes(), c.attempts)
 				last := e.attempts[len(e.attempts)-1]
+				if c.timeLimit > 0 {
+					assert.Equal(t, last.deadline.Sub(start), c.timeLimit)
+					assert.Equal(t, last.meta.Deadline.Sub(start), c.timeLimit)
+				}
 				if got.status == http.StatusOK {
 					assert.Equal(t, last.meta.Revision, uint64(2))
 					assert.Equal(t, last.meta.Service, c.after.Service)
