--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -27,8 +27,13 @@
 	body         *replayer.Replayer
 	header       http.Header
 	tried        []*eelgrasspoint.Candidate
-	start        time.Time
-	attempts     int
+	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
+	// are concurrent with a hedge.
+	lastEnded *eelgrasspoint.Candidate
+	start     time.Time
+	// timeout is the one that the caller set, or zero.
+	timeout  time.Duration
+	attempts int
 	// deliveredAttempts counts the attempts that may have reached a backend server; events name it Arrivals.
 	deliveredAttempts atomic.Int32
 	// overloaded are the candidates that refused the request because of their load (SlowServer or
@@ -43,8 +48,8 @@
 	mayHaveRun atomic.Bool
 }
 
-// matchRoute sets the route, the service and the permitted regions of the request, or returns a
-// refusal.
+// matchRoute sets the route, the service, the permitted regions and the deadline of the request, or returns
+// a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
 	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
@@ -64,6 +69,7 @@
 	if !allowed {
 		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 	}
+	p.meta.Deadline = p.start.Add(timeLimit(p.matchedRoute, p.timeout))
 	return nil
 }
 
@@ -88,40 +94,61 @@
 		if candidate == nil {
 			return nil, p.noCandidateError(lastErr)
 		}
-		answer, err := p.send(ctx, candidate)
-		if err == nil && !p.retryServerError(answer) {
-			return answer, nil
+		result := p.send(ctx, candidate)
+		if result.err == nil && !p.retryServerError(result) {
+			return result.answer, nil
 		}
-		if err == nil {
+		if result.err == nil {
 			continue
 		}
-		lastErr = p.attemptError(err)
-		if lastErr.Reason == eelgrasspoint.StaleRoute && p.fetchConfiguration(ctx) {
-			if err := p.matchRoute(); err != nil {
+		lastErr = p.attemptError(result.err)
+		if lastErr.Reason == eelgrasspoint.StaleRoute {
+			if err := p.refreshRoute(ctx, result.candidate); err != nil {
 				return nil, err
 			}
-			continue
 		}
-		if !p.tryRetry(lastErr) {
+		if !p.tryRetry(result.candidate, lastErr) {
 			return nil, lastErr
 		}
 	}
 }
 
-// fetchConfiguration fetches the configuration from the last candidate's node, at most once per request,
-// and makes all candidates eligible again. It reports whether the revision in force is now newer than the
-// request's.
-func (p *proxiedRequest) fetchConfiguration(ctx context.Context) bool {
-	if p.configurationFetched {
-		return false
+// fetchTimeDivisor bounds a fetch of the configuration to this part of the time that the request has left, so
+// that another attempt is still possible if the fetch gets no response.
+const fetchTimeDivisor = 4
+
+// refreshRoute matches the request to a route again if the revision in force is newer than the request's; all
+// candidates are eligible again then. If it is not newer, the configuration is fetched from the candidate's
+// node first. The error is the refusal of the newer revision.
+func (p *proxiedRequest) refreshRoute(ctx context.Context, from *eelgrasspoint.Candidate) *eelgrasspoint.OutcomeError {
+	if !p.hasNewerRevision() {
+		p.fetchConfiguration(ctx, from)
+	}
+	if !p.hasNewerRevision() {
+		return nil
 	}
-	p.configurationFetched = true
-	p.forwarder.CatchUp(ctx, p.tried[len(p.tried)-1], p.meta.Revision)
-	p.snapshot = p.forwarder.Holder.Load()
 	p.tried, p.overloaded = nil, nil
+	return p.matchRoute()
+}
+
+// hasNewerRevision reloads the snapshot and reports whether its revision is newer than the request's.
+func (p *proxiedRequest) hasNewerRevision() bool {
+	p.snapshot = p.forwarder.Holder.Load()
 	return p.snapshot.Configuration.Revision > p.meta.Revision
 }
 
+// fetchConfiguration fetches the configuration from the candidate's node, at most once per request.
+func (p *proxiedRequest) fetchConfiguration(ctx context.Context, from *eelgrasspoint.Candidate) {
+	if p.configurationFetched {
+		return
+	}
+	p.configurationFetched = true
+	timeLeft := eelgrasspoint.Remaining(p.meta.Deadline, p.forwarder.Clock())
+	ctx, cancel := context.WithTimeout(ctx, timeLeft/fetchTimeDivisor)
+	defer cancel()
+	p.forwarder.CatchUp(ctx, from, p.meta.Revision)
+}
+
 // outgoingHeader returns the request headers that every attempt sends.
 func (p *proxiedRequest) outgoingHeader() http.Header {
 	header := p.request.Header.Clone()
@@ -147,10 +174,10 @@
 	return &eelgrasspoint.OutcomeError{Outcome: outcome.Outcome, Reason: reason, Detail: bodyErr.Error()}
 }
 
-// tryRetry reports whether the request is sent again after lastErr. If so, it takes a token, if one is
-// left, from the budget of the next attempt's purpose and records the event. A candidate that refused
-// because of its load is added to overloaded.
-func (p *proxiedRequest) tryRetry(lastErr *eelgrasspoint.OutcomeError) bool {
+// tryRetry reports whether the request is sent again after lastErr, the end of the attempt at the candidate.
+// If so, it takes a token, if one is left, from the budget of the next attempt's purpose and records the
+// event.
+func (p *proxiedRequest) tryRetry(candidate *eelgrasspoint.Candidate, lastErr *eelgrasspoint.OutcomeError) bool {
 	failure := retrier.Failure{
 		Err: lastErr, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
 		Attempts: int(p.deliveredAttempts.Load()), MaxAttempts: int(p.matchedRoute.MaxAttempts), Deadline: p.meta.Deadline,
@@ -158,35 +185,37 @@
 	if !retrier.MayRetry(failure, p.forwarder.Clock()) || p.attempts >= eelgrasspoint.MaxTotalAttempts {
 		return false
 	}
+	// The route of a newer revision may not be idempotent, as that of the earlier attempts was.
+	if p.mayHaveRun.Load() && !p.meta.Idempotent {
+		return false
+	}
 	purpose := retrier.PurposeOf(lastErr)
 	if p.queueRequested && p.queueTimePassed() {
 		return false
 	}
-	if lastErr.Reason == eelgrasspoint.SlowServer || lastErr.Reason == eelgrasspoint.Overloaded {
-		p.overloaded = append(p.overloaded, p.tried[len(p.tried)-1])
-	}
 	// A redirect goes ahead even without budget, since the last attempt reached no backend server.
 	if !p.forwarder.Retrier.TryWithdraw(p.meta.Service, purpose) && purpose != retrier.Redirect {
 		return false
 	}
-	p.recordRetry(lastErr)
+	p.recordRetry(candidate, lastErr)
 	return true
 }
 
 // retryServerError reports whether an answer with a 5xx status is replaced by another attempt, and closes
 // the answer if so. It is replaced if the request is idempotent, no attempt but the answered one may have
 // reached a backend server, there is another candidate, and tryRetry returns true.
-func (p *proxiedRequest) retryServerError(answer *eelgrasspoint.Answer) bool {
-	if !isServerError(answer.Response.StatusCode) || p.deliveredAttempts.Load() > 1 || !p.meta.Idempotent {
+func (p *proxiedRequest) retryServerError(result attemptResult) bool {
+	response := result.answer.Response
+	if !isServerError(response.StatusCode) || p.deliveredAttempts.Load() > 1 || !p.meta.Idempotent {
 		return false
 	}
 	if p.choose() == nil {
 		return false
 	}
-	if !p.tryRetry(&eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun}) {
+	if !p.tryRetry(result.candidate, &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun}) {
 		return false
 	}
-	answer.Response.Body.Close()
+	response.Body.Close()
 	p.mayHaveRun.Store(true)
 	return true
 }
