A planned stop waits for its requests until shortly before the end

Seen by callers: a node that got SIGTERM closed connections without an answer at 5/6 of StopTimeout, while the backend servers were still at work and would have answered in time. An exit node that stopped cut the attempts of other nodes in the same way, and these answered 502.

The notice also began only once the leave was published, and took from what was left.

Evidence, on the code before:

TestStopAnswersWhatItTook/work_ends_in_the_last_sixth no answer: {status:0 outcome: reason: incomplete:true took:2.701s} TestStopAnswersWhatItTook/sent_at_the_end_of_the_notice no answer: {status:0 outcome: reason: incomplete:true took:2.511s} TestStopOfExitNodeFinishesAttempts (got.outcome) != Answered: {status:0 incomplete:true took:5.101s}

The reserve is 500 ms now, or a sixth if that is less, and notice and wait are counted from the signal. A request that is taken at the end of the notice has 3 s with a StopTimeout of 6 s and a DrainTimeout of 2.5 s.

In the simulator, a node that has stopped left its connections open, so no test could see a cut at the end of a stop: its process now closes them. TestStopsOneAfterAnother and TestStopAtAnyTime passed before, too: chains of two nodes that stop 0 to 2 s apart, and stops without store or configuration.

--- a/runner/servers.go
+++ b/runner/servers.go
@@ -176,8 +176,8 @@
 	return failed
 }
 
-// shutdown stops the servers and waits for the requests in flight. The caller server is first, since its
-// requests may need the peer server.
+// shutdown stops the servers and waits for the requests in flight; those that outlast ctx are cut. The caller
+// server is first, since its requests may need the peer server.
 func (s *servers) shutdown(ctx context.Context) error {
 	errs := []error{s.callers.Shutdown(ctx), s.peers.Shutdown(ctx), s.control.Shutdown(ctx)}
 	for _, o := range s.optional {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -8,10 +8,12 @@
 	"eelgrasspoint/coordination/controller"
 )
 
-// stopReserveDivisor splits the stop timeout: Flush, deleteMemberRow and the shutdown of the servers must
-// end within the first 5/6. The last 1/6 is left for closing the outbound connections of the node, which
-// has no deadline of its own.
-const stopReserveDivisor = 6
+// The reserve of a stop is what the end of the process may take once the wait for requests in flight is over.
+// It is stopReserve, or less if the stop timeout is short.
+const (
+	stopReserve        = 500 * time.Millisecond
+	stopReserveDivisor = 6
+)
 
 // StopTimeout returns the time that a graceful stop may take. It is a reloadable setting.
 func (r *Runner) StopTimeout() time.Duration { return r.latestSettings.Load().StopTimeout }
@@ -20,15 +22,17 @@
 // have had time to notice that the node leaves. It then waits for the requests in flight and closes the
 // servers.
 func (r *Runner) stop() error {
+	start := time.Now()
 	r.stopping.Store(true)
 	r.record(eelgrasspoint.EventNodeStopping, "")
-	timeout := r.StopTimeout()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout-timeout/stopReserveDivisor)
+	settings := r.latestSettings.Load()
+	noticeElapsed := time.After(max(eelgrasspoint.StopNoticeTime, settings.DrainTimeout))
+	reserve := min(stopReserve, settings.StopTimeout/stopReserveDivisor)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(settings.StopTimeout-reserve))
 	defer cancel()
 	leaveDone := make(chan struct{})
 	r.controller.Submit(controller.Leave{Done: leaveDone})
 	<-leaveDone
-	noticeElapsed := time.After(max(eelgrasspoint.StopNoticeTime, r.latestSettings.Load().DrainTimeout))
 	go r.observer.Flush(ctx)
 	go r.deleteMemberRow(ctx)
 	<-noticeElapsed
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// Exit closes the listeners at the addresses and every connection that they accepted, as the operating
+// system does for a process that ends by itself. Unlike Kill, it does not discard bytes that were sent.
+func (n *Network) Exit(addresses ...netip.AddrPort) {
+	for _, address := range addresses {
+		n.mu.Lock()
+		l := n.listeners[address]
+		n.mu.Unlock()
+		if l != nil {
+			_ = l.Close()
+		}
+		n.forEachConn(func(c *conn) bool { return c.local == address }, func(c *conn) { _ = c.Close() })
+	}
+}
+
 // Blackhole drops all traffic of a host without resetting its connections, as the loss of a VM does.
 func (n *Network) Blackhole(host netip.Addr) {
 	n.mu.Lock()
--- /dev/null
+++ b/standin/proof/stop_test.go
@@ -0,0 +1,186 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/limiter"
+	"eelgrasspoint/standin/backend"
+	"eelgrasspoint/standin/platform"
+	"eelgrasspoint/standin/simulator"
+)
+
+// Settings of the nodes that the tests of planned stops stop.
+const (
+	gracePeriod  = 6 * time.Second
+	drainTimeout = 2500 * time.Millisecond
+)
+
+// stop begins the planned stop of a node and returns a channel that receives its duration.
+func stop(n *simulator.Node) <-chan time.Duration {
+	took := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		n.StopNode()
+		took <- time.Since(began)
+	}()
+	return took
+}
+
+// withStop runs a check against a pair of nodes whose planned stop may take gracePeriod.
+func withStop(t *testing.T, work time.Duration, check func(t *testing.T, p *pair)) {
+	t.Helper()
+	withPair(t, backend.Behavior{ServiceTime: work}, func(t *testing.T, p *pair) {
+		for _, n := range p.Nodes {
+			n.StopNode()
+			n.Settings.StopTimeout, n.Settings.DrainTimeout = gracePeriod, drainTimeout
+			n.StartNode()
+		}
+		time.Sleep(5 * time.Second)
+		document := simulator.ExampleDocument()
+		for i := range document.Routes {
+			document.Routes[i].TimeLimit = 2 * gracePeriod
+		}
+		p.ApplyDocument(t.Context(), p.entry, document)
+		time.Sleep(time.Second)
+		check(t, p)
+	})
+}
+
+// TestStopAnswersWhatItTook guards against a request that a stopping node takes and then cuts though its
+// backend server finishes within the grace period.
+func TestStopAnswersWhatItTook(t *testing.T) {
+	cases := []struct {
+		name    string
+		sent    time.Duration
+		work    time.Duration
+		outcome string
+		status  int
+	}{
+		{"work ends with the notice", 2300 * time.Millisecond, 200 * time.Millisecond, "Answered", 200},
+		{"work ends before the last sixth", 2300 * time.Millisecond, 2600 * time.Millisecond, "Answered", 200},
+		{"work ends in the last sixth", 2300 * time.Millisecond, 3 * time.Second, "Answered", 200},
+		{"sent at the end of the notice", drainTimeout - 10*time.Millisecond, 2900 * time.Millisecond, "Answered", 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withStop(t, c.work, func(t *testing.T, p *pair) {
+				stopped := stop(p.entry)
+				time.Sleep(c.sent)
+				got := p.sendBooking("b", nil)
+				assert.Assert(t, !got.incomplete, "no answer: %+v", got)
+				assert.Equal(t, got.outcome, c.outcome, "%+v", got)
+				assert.Equal(t, got.status, c.status)
+				took := <-stopped
+				assert.Assert(t, took < gracePeriod, "the stop took %v", took)
+			})
+		})
+	}
+}
+
+// TestStopOfExitNodeFinishesAttempts guards against attempts that an exit node has taken before its stop and
+// cuts though its backend server finishes within the grace period: those of other nodes and its own.
+func TestStopOfExitNodeFinishesAttempts(t *testing.T) {
+	withStop(t, 5300*time.Millisecond, func(t *testing.T, p *pair) {
+		results := make(chan callResult, 2)
+		for i, entry := range p.Nodes {
+			go func() { results <- p.send(entry, http.MethodPost, "/bookings", fmt.Sprintf("b-%d", i), nil) }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		stopped := stop(p.exit)
+		for range p.Nodes {
+			got := <-results
+			assert.Equal(t, got.outcome, "Answered", "%+v", got)
+		}
+		<-stopped
+	})
+}
+
+// TestStopsOneAfterAnother guards against requests that get no answer, or a failure in its place, while their
+// entry node and an exit node stop a short time apart.
+func TestStopsOneAfterAnother(t *testing.T) {
+	for _, gap := range []time.Duration{-2 * time.Second, -time.Second, 0, time.Second} {
+		t.Run(gap.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := simulator.New(simulator.Options{Shape: unlimitedNetwork, StoreRegion: "almaty", Limiter: func() eelgrasspoint.Limiter { return limiter.NewFixed(200) }})
+				defer s.Close()
+				work := backend.Behavior{ServiceTime: 400 * time.Millisecond}
+				entry := s.AddNode("almaty", "almaty-a", "vitrine", 4, backend.Behavior{})
+				first := s.AddNode("almaty", "almaty-b", "bench", 200, work)
+				s.AddNode("almaty", "almaty-b", "bench", 200, work)
+				for _, n := range s.Nodes {
+					n.Settings.StopTimeout, n.Settings.DrainTimeout = gracePeriod, drainTimeout
+				}
+				time.Sleep(3 * time.Second)
+				s.ApplyDocument(t.Context(), entry, simulator.ExampleDocument())
+				time.Sleep(time.Second)
+				p := &pair{Simulator: s, entry: entry, client: s.HTTPClient()}
+				defer p.client.CloseIdleConnections()
+				results := make(chan callResult, 1000)
+				sent := 0
+				send := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+						id := fmt.Sprintf("b-%d", sent)
+						sent++
+						go func() { results <- p.sendBooking(id, nil) }()
+					}
+				}
+				send(500 * time.Millisecond)
+				earlier, later := first, entry
+				if gap > 0 {
+					earlier, later = entry, first
+				}
+				a := stop(earlier)
+				send(max(gap, -gap))
+				b := stop(later)
+				send(drainTimeout - max(0, gap))
+				<-a
+				<-b
+				for range sent {
+					got := <-results
+					assert.Equal(t, got.outcome, "Answered", "%+v", got)
+				}
+				for _, n := range []*simulator.Node{earlier, later} {
+					assert.NilError(t, n.RunError())
+				}
+			})
+		})
+	}
+}
+
+// TestStopAtAnyTime guards against a stop that hangs or fails: while the store is down, and before the node
+// has a configuration.
+func TestStopAtAnyTime(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(t *testing.T, s *simulator.Simulator, n *simulator.Node)
+	}{
+		{"store is down", func(t *testing.T, s *simulator.Simulator, n *simulator.Node) {
+			s.ApplyDocument(t.Context(), n, simulator.ExampleDocument())
+			s.Platform.SetFaults(platform.Faults{Down: true})
+		}},
+		{"no configuration", func(*testing.T, *simulator.Simulator, *simulator.Node) {}},
+		{"just started", func(_ *testing.T, _ *simulator.Simulator, n *simulator.Node) {
+			n.KillNode()
+			n.StartNode()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withNodes(t, 4, platform.Faults{}, func(t *testing.T, s *simulator.Simulator) {
+				n := s.Nodes[1]
+				c.act(t, s, n)
+				n.Settings.StopTimeout, n.Settings.DrainTimeout = gracePeriod, drainTimeout
+				took := <-stop(n)
+				assert.NilError(t, n.RunError())
+				assert.Assert(t, took < drainTimeout+1500*time.Millisecond, "the stop took %v", took)
+			})
+		})
+	}
+}
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -63,6 +63,7 @@
 	behavior       backend.Behavior
 	cancelNode     context.CancelFunc
 	nodeDone       chan struct{}
+	nodeError      error
 	cancelAnnounce context.CancelFunc
 	httpServer     *http.Server
 	startCount     uint64
@@ -195,7 +196,7 @@
 	nodeRunner, nodeDone := n.Runner, n.nodeDone
 	go func() {
 		defer close(nodeDone)
-		_ = nodeRunner.Run(ctx)
+		n.nodeError = nodeRunner.Run(ctx)
 	}()
 }
 
@@ -204,15 +205,20 @@
 	return connector.New(n.simulator.platformAddress, &http.Client{Transport: transport}, count)
 }
 
-// StopNode shuts the node down gracefully and waits until it has ended.
+// StopNode shuts the node down gracefully and waits until it has ended, which closes the connections that
+// are still open.
 func (n *Node) StopNode() {
 	n.processLock <- struct{}{}
 	defer func() { <-n.processLock }()
 	n.running = false
 	n.cancelNode()
 	<-n.nodeDone
+	n.simulator.Network.Exit(n.address(callerPort), n.address(peerPort), n.address(controlPort))
 }
 
+// RunError returns the error with which the node's process ended last.
+func (n *Node) RunError() error { return n.nodeError }
+
 // KillNode ends the node's process without a graceful shutdown and resets all connections of its host.
 func (n *Node) KillNode() {
 	n.processLock <- struct{}{}
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -46,9 +46,9 @@
 	LogLevel string
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
-	// StopTimeout bounds the wait of a stopping node for requests in flight: the wait ends when 5/6 of
-	// StopTimeout have passed since the stop began. DrainTimeout is part of this time, but is not cut
-	// short; if it is longer, the node doesn't wait for requests in flight.
+	// StopTimeout bounds a planned stop: the wait for requests in flight ends 500 ms, or a sixth of
+	// StopTimeout if that is less, before StopTimeout has passed since the stop began. DrainTimeout is part
+	// of this time, but is not cut short; if it is longer, the node doesn't wait for requests in flight.
 	StopTimeout time.Duration
 	// Contract selects the protocols used with callers, backend servers and the platform:
 	// ContractOwn or ContractPlatform.
