Requests that outlast a planned stop get an answer

Seen by callers: a request whose backend server was still at work when the time of a planned stop was up ended with a closed connection and no answer. The log had no line of its end, and the node exited with status 1, at times also when all requests had been answered.

Cause: at the end of the wait the process just ended. Shutdown looks every 500 ms at most whether connections are idle, so the wait could also end with an error after the last answer.

Evidence, on the commit before:

TestStopAnswersWhatItTook/work_outlasts_the_grace_period no answer: {status:0 outcome: reason: incomplete:true took:3.201s} TestStopAnswersWhatItTook/work_ends_in_the_last_sixth error is not nil: context deadline exceeded

When the wait ends, the contexts of callers' requests are canceled, and for half of the reserve (250 ms) the servers wait for the answers: 502 with the outcome MayHaveRun if the request was sent, 503 and NotRun if not. Attempts of other nodes keep this time for their work: their entry nodes must see the loss of the connection, not a cancellation, to send them again where that is allowed. Whatever is left is closed then. Idle connections are noticed by the second call of Shutdown, so the stop fails only if something was cut.

--- a/runner/servers.go
+++ b/runner/servers.go
@@ -56,6 +56,8 @@
 	callerListener, peerListener, controlListener net.Listener
 	// optional has the order of the addresses in listenOptional.
 	optional []optionalServer
+	// cancelRequests cancels the contexts of the requests of callers.
+	cancelRequests context.CancelCauseFunc
 }
 
 // optionalServer is a server whose address may be left out of the settings. Its listener is then nil.
@@ -66,10 +68,14 @@
 }
 
 func newServers(h handlers) servers {
+	base, cancel := context.WithCancelCause(context.Background())
+	callers := newCallerServer(h.callers)
+	callers.BaseContext = func(net.Listener) context.Context { return base }
 	return servers{
-		callers: newCallerServer(h.callers),
-		peers:   newPeerServer(h.attempts, h.exchange),
-		control: newControlServer(h),
+		callers:        callers,
+		cancelRequests: cancel,
+		peers:          newPeerServer(h.attempts, h.exchange),
+		control:        newControlServer(h),
 		optional: []optionalServer{
 			{setting: "ReadyAddress", server: newOptionalServer(h.readiness)},
 			{setting: "AnnounceAddress", server: newOptionalServer(h.announcements)},
@@ -176,12 +182,20 @@
 	return failed
 }
 
-// shutdown stops the servers and waits for the requests in flight; those that outlast ctx are cut. The caller
-// server is first, since its requests may need the peer server.
-func (s *servers) shutdown(ctx context.Context) error {
-	errs := []error{s.callers.Shutdown(ctx), s.peers.Shutdown(ctx), s.control.Shutdown(ctx)}
+// errStopTimeout is the cause of the cancellation of requests that outlast a stop.
+var errStopTimeout = errors.New("the node stops, and the time to wait for requests has passed")
+
+// shutdown stops the servers and waits for the requests in flight. The caller server is first, since its
+// requests may need the peer server. Requests of callers that are in flight when ctx ends are canceled, so
+// that they get an answer; all connections are closed when last ends.
+func (s *servers) shutdown(ctx, last context.Context) error {
+	defer s.close()
+	if s.callers.Shutdown(ctx) != nil {
+		s.cancelRequests(errStopTimeout)
+	}
+	errs := []error{s.callers.Shutdown(last), s.peers.Shutdown(last), s.control.Shutdown(last)}
 	for _, o := range s.optional {
-		errs = append(errs, o.server.Shutdown(ctx))
+		errs = append(errs, o.server.Shutdown(last))
 	}
 	return trace.NewAggregate(errs...)
 }
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -8,8 +8,8 @@
 	"eelgrasspoint/coordination/controller"
 )
 
-// The reserve of a stop is what the end of the process may take once the wait for requests in flight is over.
-// It is stopReserve, or less if the stop timeout is short.
+// The reserve of a stop is left at its end for answering the requests that are still in flight and, in its
+// second half, for ending the process. It is stopReserve, or less if the stop timeout is short.
 const (
 	stopReserve        = 500 * time.Millisecond
 	stopReserveDivisor = 6
@@ -27,16 +27,19 @@
 	r.record(eelgrasspoint.EventNodeStopping, "")
 	settings := r.latestSettings.Load()
 	noticeElapsed := time.After(max(eelgrasspoint.StopNoticeTime, settings.DrainTimeout))
+	end := start.Add(settings.StopTimeout)
 	reserve := min(stopReserve, settings.StopTimeout/stopReserveDivisor)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(settings.StopTimeout-reserve))
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-reserve))
 	defer cancel()
+	last, cancelLast := context.WithDeadline(context.Background(), end.Add(-reserve/2))
+	defer cancelLast()
 	leaveDone := make(chan struct{})
 	r.controller.Submit(controller.Leave{Done: leaveDone})
 	<-leaveDone
 	go r.observer.Flush(ctx)
 	go r.deleteMemberRow(ctx)
 	<-noticeElapsed
-	err := r.servers.shutdown(ctx)
+	err := r.servers.shutdown(ctx, last)
 	r.record(eelgrasspoint.EventNodeStopped, "")
 	return err
 }
--- a/standin/proof/stop_test.go
+++ b/standin/proof/stop_test.go
@@ -53,8 +53,8 @@
 	})
 }
 
-// TestStopAnswersWhatItTook guards against a request that a stopping node takes and then cuts though its
-// backend server finishes within the grace period.
+// TestStopAnswersWhatItTook guards against a request that a stopping node takes and ends without an answer,
+// or cuts though its backend server finishes within the grace period, and against a stop that then fails.
 func TestStopAnswersWhatItTook(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -67,6 +67,7 @@
 		{"work ends before the last sixth", 2300 * time.Millisecond, 2600 * time.Millisecond, "Answered", 200},
 		{"work ends in the last sixth", 2300 * time.Millisecond, 3 * time.Second, "Answered", 200},
 		{"sent at the end of the notice", drainTimeout - 10*time.Millisecond, 2900 * time.Millisecond, "Answered", 200},
+		{"work outlasts the grace period", 2300 * time.Millisecond, 4500 * time.Millisecond, "MayHaveRun", 502},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -79,6 +80,7 @@
 				assert.Equal(t, got.status, c.status)
 				took := <-stopped
 				assert.Assert(t, took < gracePeriod, "the stop took %v", took)
+				assert.NilError(t, p.entry.RunError())
 			})
 		})
 	}
