A planned stop closes unused connections at once

Seen: a caller or operator that had opened a connection and sent nothing on it held up a planned stop until its time was over, and the node then exited with status 1. Until it was back, its callers were refused.

Cause: http.Server.Shutdown waits over 5 s for a connection on which no request has begun, though it serves no request that is read after its call.

The servers for callers, operators, readiness and announcements close these connections when they shut down. A request that arrives on one of them then was not served before either. The server for other nodes keeps the wait: an entry node that loses a new connection can't tell that its attempt has not run. TestStopAnswersWhatItTook now also runs with callers over HTTP/2, whose connections net/http reports as active in another way.

--- a/runner/servers.go
+++ b/runner/servers.go
@@ -71,14 +71,15 @@
 	base, cancel := context.WithCancelCause(context.Background())
 	callers := newCallerServer(h.callers)
 	callers.BaseContext = func(net.Listener) context.Context { return base }
+	closeUnusedOnShutdown(callers)
 	return servers{
 		callers:        callers,
 		cancelRequests: cancel,
 		peers:          newPeerServer(h.attempts, h.exchange),
 		control:        newControlServer(h),
 		optional: []optionalServer{
-			{setting: "ReadyAddress", server: newOptionalServer(h.readiness)},
-			{setting: "AnnounceAddress", server: newOptionalServer(h.announcements)},
+			{setting: "ReadyAddress", server: newShortCallServer(h.readiness)},
+			{setting: "AnnounceAddress", server: newShortCallServer(h.announcements)},
 		},
 	}
 }
@@ -121,9 +122,11 @@
 	}
 }
 
-// newOptionalServer returns the HTTP server of an optionalServer, for short calls with small bodies.
-func newOptionalServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+// newShortCallServer returns an HTTP server for short calls with small bodies.
+func newShortCallServer(handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	closeUnusedOnShutdown(server)
+	return server
 }
 
 func newControlServer(h handlers) *http.Server {
@@ -131,7 +134,7 @@
 	mux.Handle(schema.OperatorsPathPrefix, h.operators)
 	mux.Handle(registrationPath, h.registration)
 	mux.Handle(metricsPath, h.metrics)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	return newShortCallServer(mux)
 }
 
 // listen opens the listeners. The error names the setting of the address.
--- a/standin/proof/stop_test.go
+++ b/standin/proof/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,20 +70,28 @@
 		{"sent at the end of the notice", drainTimeout - 10*time.Millisecond, 2900 * time.Millisecond, "Answered", 200},
 		{"work outlasts the grace period", 2300 * time.Millisecond, 4500 * time.Millisecond, "MayHaveRun", 502},
 	}
+	clients := map[string]func(*simulator.Simulator) *http.Client{
+		"HTTP/1.1": (*simulator.Simulator).HTTPClient,
+		"HTTP/2":   (*simulator.Simulator).PeerHTTPClient,
+	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			withStop(t, c.work, func(t *testing.T, p *pair) {
-				stopped := stop(p.entry)
-				time.Sleep(c.sent)
-				got := p.sendBooking("b", nil)
-				assert.Assert(t, !got.incomplete, "no answer: %+v", got)
-				assert.Equal(t, got.outcome, c.outcome, "%+v", got)
-				assert.Equal(t, got.status, c.status)
-				took := <-stopped
-				assert.Assert(t, took < gracePeriod, "the stop took %v", took)
-				assert.NilError(t, p.entry.RunError())
+		for protocol, newClient := range clients {
+			t.Run(c.name+"/"+protocol, func(t *testing.T) {
+				withStop(t, c.work, func(t *testing.T, p *pair) {
+					p.client = newClient(p.Simulator)
+					defer p.client.CloseIdleConnections()
+					stopped := stop(p.entry)
+					time.Sleep(c.sent)
+					got := p.sendBooking("b", nil)
+					assert.Assert(t, !got.incomplete, "no answer: %+v", got)
+					assert.Equal(t, got.outcome, c.outcome, "%+v", got)
+					assert.Equal(t, got.status, c.status)
+					took := <-stopped
+					assert.Assert(t, took < gracePeriod, "the stop took %v", took)
+					assert.NilError(t, p.entry.RunError())
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -156,8 +165,8 @@
 	}
 }
 
-// TestStopAtAnyTime guards against a stop that hangs or fails: while the store is down, and before the node
-// has a configuration.
+// TestStopAtAnyTime guards against a stop that hangs or fails: while the store is down, before the node has a
+// configuration, and with connections on which no request was sent.
 func TestStopAtAnyTime(t *testing.T) {
 	cases := []struct {
 		name string
@@ -172,6 +181,13 @@
 			n.KillNode()
 			n.StartNode()
 		}},
+		{"unused connections", func(t *testing.T, s *simulator.Simulator, n *simulator.Node) {
+			for _, address := range []netip.AddrPort{n.Settings.CallerAddress, n.Settings.ControlAddress} {
+				conn, err := s.Network.Dial(netip.MustParseAddr("10.255.0.1"))(t.Context(), "tcp", address.String())
+				assert.NilError(t, err)
+				t.Cleanup(func() { conn.Close() })
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
