--- a/standin/proof/stop_test.go
+++ b/standin/proof/stop_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +20,20 @@
 	"eelgrasspoint/standin/simulator"
 )
 
-// Settings of the nodes that the tests of planned stops stop.
-const (
-	gracePeriod  = 6 * time.Second
-	drainTimeout = 2500 * time.Millisecond
-)
+// gracePeriod is the StopTimeout of the nodes that the tests of planned stops stop.
+const gracePeriod = 6 * time.Second
+
+// deployedDrainTimeout returns the DrainTimeout of the nodes that run on the platform.
+func deployedDrainTimeout(t *testing.T) time.Duration {
+	t.Helper()
+	template, err := os.ReadFile(filepath.Join("..", "..", "deploy", "settings.json.tmpl"))
+	assert.NilError(t, err)
+	found := regexp.MustCompile(`"DrainTimeout": "([^"]+)"`).FindSubmatch(template)
+	assert.Assert(t, found != nil)
+	drainTimeout, err := time.ParseDuration(string(found[1]))
+	assert.NilError(t, err)
+	return drainTimeout
+}
 
 // stop begins the planned stop of a node and returns a channel that receives its duration.
 func stop(n *simulator.Node) <-chan time.Duration {
@@ -37,6 +49,7 @@
 // withStop runs a check against a pair of nodes whose planned stop may take gracePeriod.
 func withStop(t *testing.T, work time.Duration, check func(t *testing.T, p *pair)) {
 	t.Helper()
+	drainTimeout := deployedDrainTimeout(t)
 	withPair(t, backend.Behavior{ServiceTime: work}, func(t *testing.T, p *pair) {
 		for _, n := range p.Nodes {
 			n.StopNode()
@@ -57,6 +70,7 @@
 // TestStopAnswersWhatItTook guards against a request that a stopping node takes and ends without an answer,
 // or cuts though its backend server finishes within the grace period, and against a stop that then fails.
 func TestStopAnswersWhatItTook(t *testing.T) {
+	drainTimeout := deployedDrainTimeout(t)
 	cases := []struct {
 		name    string
 		sent    time.Duration
@@ -116,6 +130,7 @@
 // TestStopsOneAfterAnother guards against requests that get no answer, or a failure in its place, while their
 // entry node and an exit node stop a short time apart.
 func TestStopsOneAfterAnother(t *testing.T) {
+	drainTimeout := deployedDrainTimeout(t)
 	for _, gap := range []time.Duration{-2 * time.Second, -time.Second, 0, time.Second} {
 		t.Run(gap.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -168,6 +183,7 @@
 // TestStopAtAnyTime guards against a stop that hangs or fails: while the store is down, before the node has a
 // configuration, and with connections on which no request was sent.
 func TestStopAtAnyTime(t *testing.T) {
+	drainTimeout := deployedDrainTimeout(t)
 	cases := []struct {
 		name string
 		act  func(t *testing.T, s *simulator.Simulator, n *simulator.Node)
