--- a/runner/servers.go
+++ b/runner/servers.go
@@ -57,6 +57,8 @@
 	callerListener, peerListener, controlListener net.Listener
 	// optional has the order of the addresses in listenOptional.
 	optional []optionalServer
+	// cancelRequests cancels the contexts of the requests of callers.
+	cancelRequests context.CancelCauseFunc
 }
 
 // optionalServer is a server whose address may be left out of the settings. Its listener is then nil.
@@ -75,13 +77,18 @@
 )
 
 func newServers(h handlers, recorder eelgrasspoint.Recorder) servers {
+	base, cancel := context.WithCancelCause(context.Background())
+	callers := newCallerServer(h.callers)
+	callers.BaseContext = func(net.Listener) context.Context { return base }
+	closeUnusedOnShutdown(callers)
 	s := servers{
-		callers: newCallerServer(h.callers),
-		peers:   newPeerServer(h.attempts, h.exchange),
-		control: newControlServer(h),
+		callers:        callers,
+		cancelRequests: cancel,
+		peers:          newPeerServer(h.attempts, h.exchange),
+		control:        newControlServer(h),
 		optional: []optionalServer{
-			{setting: "ReadyAddress", server: newOptionalServer(h.readiness)},
-			{setting: "AnnounceAddress", server: newOptionalServer(h.announcements)},
+			{setting: "ReadyAddress", server: newShortCallServer(h.readiness)},
+			{setting: "AnnounceAddress", server: newShortCallServer(h.announcements)},
 		},
 	}
 	s.callers.ErrorLog = transcriber.NewLogger(recorder, callerServer)
@@ -131,9 +138,11 @@
 	}
 }
 
-// newOptionalServer returns the HTTP server of an optionalServer, for short calls with small bodies.
-func newOptionalServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+// newShortCallServer returns an HTTP server for short calls with small bodies.
+func newShortCallServer(handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	closeUnusedOnShutdown(server)
+	return server
 }
 
 func newControlServer(h handlers) *http.Server {
@@ -141,7 +150,7 @@
 	mux.Handle(schema.OperatorsPathPrefix, h.operators)
 	mux.Handle(registrationPath, h.registration)
 	mux.Handle(metricsPath, h.metrics)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+	return newShortCallServer(mux)
 }
 
 // listen opens the listeners. The error names the setting of the address.
@@ -192,12 +201,20 @@
 	return failed
 }
 
+// errStopTimeout is the cause of the cancellation of requests that outlast a stop.
+var errStopTimeout = errors.New("the node stops, and the time to wait for requests has passed")
+
 // shutdown stops the servers and waits for the requests in flight. The caller server is first, since its
-// requests may need the peer server.
-func (s *servers) shutdown(ctx context.Context) error {
-	errs := []error{s.callers.Shutdown(ctx), s.peers.Shutdown(ctx), s.control.Shutdown(ctx)}
+// requests may need the peer server. Requests of callers that are in flight when ctx ends are canceled, so
+// that they get an answer; all connections are closed when last ends.
+func (s *servers) shutdown(ctx, last context.Context) error {
+	defer s.close()
+	if s.callers.Shutdown(ctx) != nil {
+		s.cancelRequests(errStopTimeout)
+	}
+	errs := []error{s.callers.Shutdown(last), s.peers.Shutdown(last), s.control.Shutdown(last)}
 	for _, o := range s.optional {
-		errs = append(errs, o.server.Shutdown(ctx))
+		errs = append(errs, o.server.Shutdown(last))
 	}
 	return trace.NewAggregate(errs...)
 }
