A slow connection between nodes breaks off no request at work

Callers saw 502 (MayHaveRun, ConnectionLost) for requests at which a sound backend server was at work, and answers that broke off, at a node that was stopping or not.

Cause: net/http pings a connection that received no frame for 0.7 s and closes it, with all its requests, unless the answer to the ping comes within 1 s. On a link of 10 Mbit/s the ping waits behind the bodies of uploads to this and other exit nodes (up to 1 MB each). Bytes received in that second did not count. The exit node then cancels its runs, since their streams are gone.

Now silence for the same 1.7 s only keeps new attempts off the connection and cancels those that can be repeated, as before; the others stay. The connection is closed once the exit node answers a probe on a new connection while this one stays silent, so that a dead one is left as soon as before (TestStalledConnectionsDetected is unchanged), or after 4 s (PeerSilenceLimit). An answered probe is no proof if more than 16 KiB were written since the last read. Any byte that is read is a sign of life. net/http shares connections by host and port, so the host in the URLs of attempts has a generation, which changes when a connection is silent; generations are used again, since net/http keeps a record for every host.

Ruled out: a longer ping timeout (later requests stay on a dead connection) and waiting for the deadline alone (a request to a lost VM is held to its end).

--- a/constants.go
+++ b/constants.go
@@ -178,6 +178,10 @@
 	// PeerPingAfter is how long a connection between nodes receives nothing before it is pinged.
 	PeerPingAfter   = 700 * time.Millisecond
 	PeerPingTimeout = 1000 * time.Millisecond
+	// PeerSilenceLimit is how long a connection between nodes receives nothing before it is closed with the
+	// attempts that can't be repeated. The bytes of the large bodies of several requests need seconds on a slow
+	// link.
+	PeerSilenceLimit = 4 * time.Second
 	// ExchangeIdleTimeout is the idle timeout of the connections for the Exchange service (heartbeats,
 	// gossip and operators' requests), PeerIdleTimeout that of the connections for attempts.
 	ExchangeIdleTimeout = 5 * time.Second
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -7,8 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
-	"sync/atomic"
+	"sync"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/propagator"
@@ -18,22 +19,32 @@
 
 // Dispatcher sends attempts over HTTP/2 without TLS. It is safe for concurrent use.
 type Dispatcher struct {
-	transport *http.Transport
-	region    string
-	clock     eelgrasspoint.Clock
+	transport   *http.Transport
+	dialAddress dialer.Func
+	region      string
+	clock       eelgrasspoint.Clock
+
+	mu sync.Mutex
+	// generations holds the generations of peers that are not zero.
+	generations map[netip.AddrPort]uint64
 }
 
 var _ eelgrasspoint.RoundTripper = (*Dispatcher)(nil)
 
 // New returns a dispatcher for a node in the region. It opens its connections with dial. A connection that
-// receives nothing for PeerPingAfter is pinged; it is closed if the ping is not answered within
-// PeerPingTimeout, so that later attempts use a new connection.
+// receives nothing for PeerPingAfter is pinged. If nothing is received for another PeerPingTimeout, later
+// attempts use a new connection, and the attempts that can be repeated fail; the others wait until the
+// connection is dead or their deadline passes.
 func New(dial dialer.Func, region string, clock eelgrasspoint.Clock) *Dispatcher {
-	transport := NewTransport(dial)
-	transport.IdleConnTimeout = eelgrasspoint.PeerIdleTimeout
-	transport.HTTP2.SendPingTimeout = eelgrasspoint.PeerPingAfter
-	transport.HTTP2.PingTimeout = eelgrasspoint.PeerPingTimeout
-	return &Dispatcher{transport: transport, region: region, clock: clock}
+	d := &Dispatcher{
+		dialAddress: dial, region: region, clock: clock, generations: make(map[netip.AddrPort]uint64),
+	}
+	d.transport = NewTransport(d.dial)
+	d.transport.IdleConnTimeout = eelgrasspoint.PeerIdleTimeout
+	d.transport.HTTP2.SendPingTimeout = eelgrasspoint.PeerPingAfter
+	// net/http closes a connection whose ping is not answered in time, even if it receives other frames.
+	d.transport.HTTP2.PingTimeout = eelgrasspoint.MaxTimeLimit
+	return d
 }
 
 // NewTransport returns an HTTP/2 transport for connections between nodes. It sends no pings: heartbeats
@@ -62,13 +73,16 @@
 // there is none, the error is an *eelgrasspoint.OutcomeError; an answer that is returned with the error
 // holds only the load hint.
 func (d *Dispatcher) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request := d.request(httptrace.WithClientTrace(ctx, trace), candidate, attempt)
+	sendCtx, cancel := context.WithCancel(ctx)
+	v := &delivery{repeatable: attempt.Meta.Idempotent, cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: v.gotConn}
+	request := d.request(httptrace.WithClientTrace(sendCtx, trace), candidate, attempt)
 	response, err := d.transport.RoundTrip(request)
 	if err != nil {
-		return nil, attemptError(ctx, connected.Load(), err)
+		v.end()
+		return nil, attemptError(ctx, v.connected, err)
 	}
+	response.Body = &deliveredBody{ReadCloser: response.Body, delivery: v}
 	return parseResponse(response)
 }
 
@@ -76,7 +90,7 @@
 	header := attempt.Header.Clone()
 	propagator.Write(header, &attempt.Meta, d.clock())
 	header[eelgrasspoint.HeaderEntryRegion] = []string{d.region}
-	target := &url.URL{Scheme: "http", Host: candidate.PeerAddress.String(), Opaque: attempt.Target}
+	target := &url.URL{Scheme: "http", Host: d.currentPeer(candidate.PeerAddress).host(), Opaque: attempt.Target}
 	request := &http.Request{
 		Method:        attempt.Method,
 		URL:           target,
