An attempt that a stopping exit node ignored did not run

Callers saw 502 (MayHaveRun, ConnectionLost) for requests that reached no backend server, sent to an exit node while it stopped; a request that is not idempotent was not sent to another node.

Cause: such a node ignores the streams that come after the last one named in its GOAWAY frame. net/http knows that and sends the attempt again, but only if it has no body or a GetBody; we gave it none. Without a body it sent the attempt again, found no listener, and the dispatcher took the connection of the first try as a sign that the attempt may have run.

Evidence, before (go test ./transport/dispatcher, TestAttemptIgnoredByStoppingExitNodeDidNotRun):

/0 MayHaveRun: ConnectionLost: dial tcp 127.0.0.1:45759: connect: connection refused /100 MayHaveRun: ConnectionLost: http2: Transport: cannot retry err [http2: Transport received Server's graceful shutdown GOAWAY] after Request.Body was written; define Request.GetBody ... /16385 as /100

Now GetBody returns the body if nothing was read of it, and otherwise an error that stands for "not processed"; net/http calls it only with that proof (GOAWAY, a refused stream, a connection closed before use; also a stream that was reset with PROTOCOL_ERROR, which net/http's server sends only before the handler starts, or for a body longer than declared, which its client does not send). A try that is followed by another one does not count as sent. Such attempts are NotRun, ServerUnreachable, so the request goes to another node. The exit node can't run them later: it discards the frames of these streams. After: the three cases are NotRun and one run is counted.

--- a/transport/dispatcher/delivery.go
+++ b/transport/dispatcher/delivery.go
@@ -2,21 +2,50 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
+// errNotProcessed is the error of an attempt that the exit node did not process, and whose body net/http has
+// begun to read, so that it can't send the attempt again.
+var errNotProcessed = errors.New("the exit node did not process the attempt")
+
 // delivery is an attempt from its start until its answer is closed.
 type delivery struct {
 	// repeatable is set if the attempt is canceled when its connection is silent, so that the request can be
 	// sent elsewhere.
 	repeatable bool
 	cancel     context.CancelFunc
-	connected  bool
+	// connected is set if the attempt may have been sent.
+	connected bool
+	bodyRead  atomic.Bool
 	// unwatch keeps a silent connection from canceling the attempt.
 	unwatch func() bool
 }
 
+func (v *delivery) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GetConn: v.getConn, GotConn: v.gotConn}
+}
+
+// attach sets the body of the request and its GetBody. net/http calls GetBody only to send a request again that
+// the exit node did not process: one that it refused, or that came after the last one of its GOAWAY frame.
+func (v *delivery) attach(request *http.Request, body io.ReadCloser) {
+	request.Body = &deliveredRequestBody{ReadCloser: body, delivery: v}
+	request.GetBody = func() (io.ReadCloser, error) {
+		if v.bodyRead.Load() {
+			return nil, errNotProcessed
+		}
+		return request.Body, nil
+	}
+}
+
+// getConn implements httptrace.ClientTrace.GetConn. If the attempt had a connection before, the exit node did not
+// process it there.
+func (v *delivery) getConn(string) { v.connected = false }
+
 // gotConn implements httptrace.ClientTrace.GotConn.
 func (v *delivery) gotConn(info httptrace.GotConnInfo) {
 	v.connected = true
@@ -49,3 +78,15 @@
 	defer b.delivery.end()
 	return b.ReadCloser.Close()
 }
+
+// deliveredRequestBody records whether the body was read.
+type deliveredRequestBody struct {
+	io.ReadCloser
+	delivery *delivery
+}
+
+// Read implements io.Reader.
+func (b *deliveredRequestBody) Read(p []byte) (int, error) {
+	b.delivery.bodyRead.Store(true)
+	return b.ReadCloser.Read(p)
+}
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -75,8 +75,10 @@
 func (d *Dispatcher) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	sendCtx, cancel := context.WithCancel(ctx)
 	v := &delivery{repeatable: attempt.Meta.Idempotent, cancel: cancel}
-	trace := &httptrace.ClientTrace{GotConn: v.gotConn}
-	request := d.request(httptrace.WithClientTrace(sendCtx, trace), candidate, attempt)
+	request := d.request(httptrace.WithClientTrace(sendCtx, v.trace()), candidate, attempt)
+	if attempt.Length != 0 {
+		v.attach(request, attempt.Body)
+	}
 	response, err := d.transport.RoundTrip(request)
 	if err != nil {
 		v.end()
@@ -96,12 +98,9 @@
 		URL:           target,
 		Host:          attempt.Host,
 		Header:        header,
-		Body:          attempt.Body,
+		Body:          http.NoBody,
 		ContentLength: attempt.Length,
 	}
-	if attempt.Length == 0 {
-		request.Body = http.NoBody
-	}
 	if eelgrasspoint.ExpectsContinue(attempt.Length) {
 		// The exit node can refuse the attempt before a long body is sent.
 		header["Expect"] = []string{"100-continue"}
@@ -109,17 +108,18 @@
 	return request.WithContext(ctx)
 }
 
-// attemptError returns the error of an attempt without a response. Without a connection nothing was sent,
-// so the attempt was not run; with one it may have run. If there was a connection and reading the request
-// body failed, err contains an *OutcomeError; its reason is kept and its detail is dropped.
+// attemptError returns the error of an attempt without a response. The attempt was not run if it had no
+// connection, so that nothing was sent, or if the exit node did not process it; otherwise it may have run. If
+// reading the request body of such an attempt failed, err contains an *OutcomeError; its reason is kept and its
+// detail is dropped.
 func attemptError(ctx context.Context, connected bool, err error) error {
+	if !connected || errors.Is(err, errNotProcessed) {
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
+	}
 	var outcome *eelgrasspoint.OutcomeError
-	if errors.As(err, &outcome) && connected {
+	if errors.As(err, &outcome) {
 		return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: outcome.Reason}
 	}
-	if !connected {
-		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
-	}
 	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.LostReason(ctx), Detail: err.Error()}
 }
 
--- a/transport/dispatcher/dispatcher_test.go
+++ b/transport/dispatcher/dispatcher_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +22,13 @@
 // startExitNode starts an HTTP/2 server without TLS. It returns a candidate with the address of the server
 // and a dialer that counts the bytes of its connections.
 func startExitNode(t *testing.T, handler http.HandlerFunc) (*eelgrasspoint.Candidate, *dialer.Dialer) {
+	t.Helper()
+	candidate, _ := serveAttempts(t, handler)
+	return candidate, dialer.New((&net.Dialer{}).DialContext)
+}
+
+// serveAttempts starts an HTTP/2 server without TLS. It returns the server and a candidate with its address.
+func serveAttempts(t *testing.T, handler http.HandlerFunc) (*eelgrasspoint.Candidate, *http.Server) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -28,8 +37,7 @@
 	server := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	countingDialer := dialer.New((&net.Dialer{}).DialContext)
-	return &eelgrasspoint.Candidate{PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}, countingDialer
+	return &eelgrasspoint.Candidate{PeerAddress: netip.MustParseAddrPort(listener.Addr().String())}, server
 }
 
 func sendAttempt(ctx context.Context, candidate *eelgrasspoint.Candidate, d *dispatcher.Dispatcher, bodyBytes int) (*eelgrasspoint.Answer, error) {
@@ -76,3 +84,59 @@
 		d.Close()
 	}
 }
+
+// TestAttemptIgnoredByStoppingExitNodeDidNotRun: the attempt crosses the GOAWAY frame of an exit node that stops.
+func TestAttemptIgnoredByStoppingExitNodeDidNotRun(t *testing.T) {
+	for _, bodyBytes := range []int{0, 100, eelgrasspoint.MaxBodyBytesWithoutContinue + 1} {
+		t.Run(strconv.Itoa(bodyBytes), func(t *testing.T) {
+			var runs atomic.Int32
+			running, finish := make(chan struct{}), make(chan struct{})
+			candidate, server := serveAttempts(t, func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				close(running)
+				<-finish
+				w.Header().Set(eelgrasspoint.HeaderOutcome, eelgrasspoint.Answered.String())
+			})
+			d := dispatcher.New(dialWithDelayedReads, "region", time.Now)
+			defer d.Close()
+			first := make(chan error)
+			go func() {
+				answer, err := sendAttempt(t.Context(), candidate, d, 0)
+				if err == nil {
+					answer.Response.Body.Close()
+				}
+				first <- err
+			}()
+			<-running
+			go func() { _ = server.Shutdown(t.Context()) }()
+			time.Sleep(readDelay / 4)
+			_, err := sendAttempt(t.Context(), candidate, d, bodyBytes)
+			outcome := eelgrasspoint.AsOutcome(err)
+			assert.Equal(t, outcome.Outcome, eelgrasspoint.NotRun, "%v", err)
+			assert.Assert(t, outcome.Reason.ServerNotReached(), "%v", err)
+			close(finish)
+			assert.NilError(t, <-first)
+			assert.Equal(t, runs.Load(), int32(1))
+		})
+	}
+}
+
+// readDelay is how long the bytes on the connections of dialWithDelayedReads are under way to the dispatcher.
+const readDelay = 100 * time.Millisecond
+
+func dialWithDelayedReads(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &delayedConn{Conn: conn}, nil
+}
+
+// delayedConn holds every read back for readDelay.
+type delayedConn struct{ net.Conn }
+
+func (c *delayedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(readDelay)
+	return n, err
+}
