Bound the head of an answer of a backend server, another node and the table service

What callers saw: nothing yet; found by a test of ours. A backend server whose answer has a head without end (a status line, header lines, or 1xx answers) makes the node read up to 10 MiB for each request in flight, and the parser keeps several times that. Many at once end a node whose goal is 32 MB on a VM of 184 MB, and with it all its connections.

Cause: none of the HTTP transports set MaxResponseHeaderBytes; the default of net/http is 10 MiB per answer.

Change: MaxAnswerHeaderBytes (64 KiB, as for requests) at the transports for runs, for health checks of a new backend server and for the table service; MaxPeerAnswerHeaderBytes between nodes, 16 times that, since HTTP/2 counts 32 bytes more for each header. The connection is closed at the bound.

Why it works: net/http counts what it reads of a head, with the 1xx answers before it, and closes the connection at the bound. A body isn't bounded: the deadline ends it and closes the connection.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -23,6 +23,7 @@
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/reloader"
 	"eelgrasspoint/state/storer"
+	"eelgrasspoint/transport/dialer"
 )
 
 func main() {
@@ -80,7 +81,7 @@
 // backend servers, and a fixed concurrency limit.
 func usePlatformContract(options *runner.Options) {
 	settings := options.Settings
-	client := &http.Client{Transport: &http.Transport{DialContext: options.Dial, MaxConnsPerHost: maxTableConnections}}
+	client := newTableClient(options.Dial)
 	options.Table = func(count func(call, result string)) eelgrasspoint.Table {
 		return platform.NewTable(settings.Platform, client, count)
 	}
@@ -105,11 +106,18 @@
 		if !settings.Platform.IsValid() {
 			return storer.New()
 		}
-		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxTableConnections}}
-		return connector.New(settings.Platform, client, count)
+		return connector.New(settings.Platform, newTableClient(nil), count)
 	}
 }
 
+// newTableClient returns an HTTP client of the table service. Without dial, it opens its connections like
+// net.Dialer.
+func newTableClient(dial dialer.Func) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxConnsPerHost: maxTableConnections, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
+	}}
+}
+
 func newLog(settings *loader.Settings, output *emitter.Emitter) logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(output)
--- a/constants.go
+++ b/constants.go
@@ -37,6 +37,12 @@
 const (
 	MaxHeaderBytes    = 64 << 10
 	MaxRequestIDBytes = 128
+	// MaxAnswerHeaderBytes bounds the head of an answer of a backend server or of the table service, with the
+	// informational answers (1xx) before it.
+	MaxAnswerHeaderBytes = 64 << 10
+	// MaxPeerAnswerHeaderBytes bounds the headers of an answer from another node, each of which HTTP/2 counts
+	// as 32 bytes longer than it is.
+	MaxPeerAnswerHeaderBytes = 16 * MaxAnswerHeaderBytes
 	// MaxDepth is the number of nested calls at which a request is refused, which ends call loops.
 	MaxDepth = 16
 	// MaxReplayBytes bounds the part of one request's body that is buffered for another attempt.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -310,7 +310,8 @@
 		MaxConnsPerHost:     int(backend.Connections),
 		MaxIdleConnsPerHost: int(backend.Connections),
 		// A connection that was idle for long may be dead; a new one costs about a millisecond.
-		IdleConnTimeout: eelgrasspoint.BackendIdleTimeout,
+		IdleConnTimeout:        eelgrasspoint.BackendIdleTimeout,
+		MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
 	}
 }
 
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -191,7 +191,9 @@
 // CheckHealth sends a health check to an address that no backend server has announced yet, over a new
 // connection.
 func (e *Executor) CheckHealth(ctx context.Context, address netip.AddrPort, path string) (eelgrasspoint.Health, error) {
-	transport := &http.Transport{DialContext: e.options.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{
+		DialContext: e.options.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
+	}
 	return e.sendHealthCheck(ctx, transport, address, path)
 }
 
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -42,11 +42,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:           withConnectTimeout(dial),
-		Protocols:             protocols,
-		DisableCompression:    true,
-		IdleConnTimeout:       eelgrasspoint.ExchangeIdleTimeout,
-		ExpectContinueTimeout: eelgrasspoint.PeerContinueTimeout,
+		DialContext:            withConnectTimeout(dial),
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        eelgrasspoint.ExchangeIdleTimeout,
+		ExpectContinueTimeout:  eelgrasspoint.PeerContinueTimeout,
+		MaxResponseHeaderBytes: eelgrasspoint.MaxPeerAnswerHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			// The window of a connection is that of four streams, here as in the nodes' servers.
 			MaxReceiveBufferPerConnection: eelgrasspoint.PeerWindowBytes * 4,
--- a/transport/dispatcher/dispatcher_test.go
+++ b/transport/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -76,3 +77,23 @@
 		d.Close()
 	}
 }
+
+// TestAnswerHeadOfManyShortLinesArrives guards against an answer that the exit node may relay, since its head
+// is within MaxAnswerHeaderBytes, and the entry node rejects because HTTP/2 counts more bytes.
+func TestAnswerHeadOfManyShortLinesArrives(t *testing.T) {
+	// Each line has 9 bytes: name, colon, space and the end of the line.
+	const lineBytes = 9
+	const lines = eelgrasspoint.MaxAnswerHeaderBytes / lineBytes
+	candidate, countingDialer := startExitNode(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range lines {
+			w.Header()[fmt.Sprintf("A%04x", i)] = []string{""}
+		}
+		w.Header().Set(eelgrasspoint.HeaderOutcome, eelgrasspoint.Answered.String())
+	})
+	d := dispatcher.New(countingDialer.DialContext, "region", time.Now)
+	defer d.Close()
+	answer, err := sendAttempt(t.Context(), candidate, d, 0)
+	assert.NilError(t, err)
+	answer.Response.Body.Close()
+	assert.Assert(t, len(answer.Response.Header) >= lines, "%d of %d headers arrived", len(answer.Response.Header), lines)
+}
