Tell an answer that is none from a lost connection and from a crash

What callers saw: nothing yet; found by a test of ours. They get 502 as before. On call, an answer that is no HTTP couldn't be told from a connection that was reset, and it counted as a suspected crash: if the backend server was replaced within 2 s, as in a release, all requests in flight were recorded as having crashed it, which quarantines them after the next such crash.

Cause: run.fail took any error of a request that was sent, and responseBody.Read any error of a body, for a lost connection.

Failing before (go test ./coordination/executor -run Malformed): MayHaveRun ConnectionLost != MayHaveRun MalformedAnswer (no HTTP; bad header line) 1 (int) != 0 (c.crashes int) (bad chunk) After: all pass; an answer that breaks off still counts as a crash.

Change: package dialer notes whether a read or write of a connection has failed. If net/http gives up one on which none has, the reason is the new MalformedAnswer, and no crash is suspected. The entry node avoids the backend server as after a lost connection, and sends idempotent requests elsewhere. A malformed body is recorded at the exit node as AttemptFailed; before, nothing was.

Ruled out: to look for the texts of net/http's errors, which have no types.

--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -25,6 +25,12 @@
 
 // startBabbler starts a babbler and returns it with an executor whose backend server it is.
 func startBabbler(t *testing.T, script babbler.Script) (*babbler.Babbler, *executor.Executor) {
+	t.Helper()
+	return startBabblerWithReport(t, script, nil)
+}
+
+// startBabblerWithReport is startBabbler with a function that gets the crashes of the backend server.
+func startBabblerWithReport(t *testing.T, script babbler.Script, report func(executor.Crash)) (*babbler.Babbler, *executor.Executor) {
 	t.Helper()
 	b, err := babbler.New(script)
 	assert.NilError(t, err)
@@ -38,7 +44,7 @@
 		}),
 		Admitter: admitter.New(limiter.NewFixed(64), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
-		Contract: parser.New(), CountCheck: func() {},
+		Contract: parser.New(), CountCheck: func() {}, Report: report,
 	})
 	t.Cleanup(e.Close)
 	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: b.Address(), Incarnation: 1, Slots: 64, Connections: 64})
@@ -82,12 +88,36 @@
 			outcome := eelgrasspoint.AsOutcome(err)
 			t.Logf("%v", err)
 			assert.Equal(t, outcome.Outcome, eelgrasspoint.MayHaveRun)
+			assert.Equal(t, outcome.Reason, eelgrasspoint.MalformedAnswer)
 			assert.Assert(t, b.Written() < maxWrittenBytes, "%d bytes were written", b.Written())
 			waitClosed(t, b)
 		})
 	}
 }
 
+// TestMalformedAnswerIsNoCrash guards against counting a crash of the backend server for an answer that is
+// none, which quarantines the requests in flight if the server is replaced soon afterwards.
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	for _, c := range []struct {
+		name, begin, reason string
+		crashes             int
+	}{
+		{"no HTTP", "garbage\r\n\r\n", "MayHaveRun MalformedAnswer", 0},
+		{"bad header line", okHead + "no colon\r\n\r\n", "MayHaveRun MalformedAnswer", 0},
+		{"bad chunk", okHead + "Transfer-Encoding: chunked\r\n\r\nno size\r\n", "body: invalid byte in chunk length", 0},
+		{"broken off", okHead + "Content-Length: 5\r\n\r\nabc", "body: unexpected EOF", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			crashes := make(chan executor.Crash, 1)
+			b, e := startBabblerWithReport(t, babbler.Script{Begin: c.begin, HangUp: true}, func(crash executor.Crash) { crashes <- crash })
+			assert.Equal(t, readAnswer(e), c.reason)
+			e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: b.Address(), Incarnation: 2, Slots: 64, Connections: 64})
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, len(crashes), c.crashes)
+		})
+	}
+}
+
 // TestMemoryOfAnswerHeadsWithoutEnd guards against many answers at once whose heads have no end and use up
 // the memory of the process.
 func TestMemoryOfAnswerHeadsWithoutEnd(t *testing.T) {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -33,8 +33,10 @@
 	usualSpeed, crowded bool
 	// answeredAt is the time of the response headers in Unix nanoseconds, or zero.
 	answeredAt atomic.Int64
-	finished   atomic.Bool
-	bodyRead   atomic.Bool
+	// conn is the connection of the last try, nil if it got none.
+	conn     net.Conn
+	finished atomic.Bool
+	bodyRead atomic.Bool
 }
 
 // maxTries bounds how often a run tries to send its request. It tries again only if a reused connection
@@ -86,21 +88,21 @@
 // send sends the request once. net/http may repeat it only if it can prove that nothing was written;
 // newRequest rules out the other repeats.
 func (r *run) send(ctx context.Context) tryResult {
-	var conn net.Conn
+	r.conn = nil
 	var writtenBefore int64
 	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, reused = info.Conn, info.Reused
+		r.conn, reused = info.Conn, info.Reused
 		writtenBefore, _ = dialer.BytesPassedToWrite(info.Conn)
 	}}
 	response, err := r.transport.RoundTrip(r.newRequest(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return tryResult{response: response, state: eelgrasspoint.AttemptAnswering}
 	}
-	if conn == nil {
+	if r.conn == nil {
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent}
 	}
-	writtenAfter, counted := dialer.BytesPassedToWrite(conn)
+	writtenAfter, counted := dialer.BytesPassedToWrite(r.conn)
 	if counted && writtenAfter == writtenBefore {
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent, stale: reused}
 	}
@@ -157,8 +159,7 @@
 // fail finishes a run that got no response, and returns its outcome as an error.
 func (r *run) fail(ctx context.Context, result tryResult) error {
 	refused := errors.Is(result.err, syscall.ECONNREFUSED)
-	lost := result.state == eelgrasspoint.AttemptSent && ctx.Err() == nil && !isRequestBodyError(result.err)
-	if lost {
+	if result.state == eelgrasspoint.AttemptSent && r.endReason(ctx, result.err) == eelgrasspoint.ConnectionLost {
 		r.executor.connectionLost(r)
 	}
 	if refused {
@@ -179,11 +180,24 @@
 	if result.state == eelgrasspoint.AttemptNotSent {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), result.err.Error())
 	}
-	reason := eelgrasspoint.LostReason(ctx)
-	if ctx.Err() == nil && isRequestBodyError(result.err) {
-		reason = eelgrasspoint.BodyCutShort
+	return &eelgrasspoint.OutcomeError{
+		Outcome: eelgrasspoint.MayHaveRun, Reason: r.endReason(ctx, result.err), Detail: result.err.Error(),
+	}
+}
+
+// endReason returns why a request that was sent got no answer, or no whole one. If net/http gave up the
+// connection although no read or write of it failed, the backend server's bytes are no answer.
+func (r *run) endReason(ctx context.Context, err error) eelgrasspoint.Reason {
+	switch {
+	case ctx.Err() != nil:
+		return eelgrasspoint.LostReason(ctx)
+	case isRequestBodyError(err):
+		return eelgrasspoint.BodyCutShort
+	case !dialer.Broken(r.conn):
+		return eelgrasspoint.MalformedAnswer
+	default:
+		return eelgrasspoint.ConnectionLost
 	}
-	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: result.err.Error()}
 }
 
 // serviceTime returns the time from the start to the response headers, or until now without a response. It
@@ -220,14 +234,24 @@
 	case err == io.EOF:
 		b.run.executor.finish(b.run, b.sample())
 	case err != nil:
-		if b.ctx.Err() == nil {
-			b.run.executor.connectionLost(b.run)
-		}
+		b.noteFailure(err)
 		b.run.executor.finish(b.run, eelgrasspoint.Sample{Ignored: b.ctx.Err() != nil})
 	}
 	return n, err
 }
 
+// noteFailure handles an error in reading the body.
+func (b *responseBody) noteFailure(err error) {
+	switch reason := b.run.endReason(b.ctx, err); reason {
+	case eelgrasspoint.ConnectionLost:
+		b.run.executor.connectionLost(b.run)
+	case eelgrasspoint.MalformedAnswer:
+		b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
+			Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error(),
+		})
+	}
+}
+
 // Close implements io.Closer. If the body was not read to its end, net/http closes the connection, so
 // that the rest of the answer can't reach another request.
 func (b *responseBody) Close() error {
--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -101,13 +101,13 @@
 // estimatedHeaderBytes is charged to the link for the headers of a request and its answer.
 const estimatedHeaderBytes = 1024
 
-// recordFailure ejects a backend server that could not be reached, is gone or leaving service, or lost the
-// connection, and counts a timeout as a server error. A refusal because of load is not a fault of the
+// recordFailure ejects a backend server that could not be reached, is gone or leaving service, lost the
+// connection or sent bytes that are no answer, and counts a timeout as a server error. A refusal because of load is not a fault of the
 // server and changes nothing.
 func recordFailure(stats *eelgrasspoint.ServerStats, err *eelgrasspoint.OutcomeError, now time.Time) {
 	switch err.Reason {
-	case eelgrasspoint.ServerUnreachable, eelgrasspoint.ConnectionLost, eelgrasspoint.NoServer,
-		eelgrasspoint.Draining, eelgrasspoint.ZoneOutOfService:
+	case eelgrasspoint.ServerUnreachable, eelgrasspoint.ConnectionLost, eelgrasspoint.MalformedAnswer,
+		eelgrasspoint.NoServer, eelgrasspoint.Draining, eelgrasspoint.ZoneOutOfService:
 		stats.RecordFailure(now)
 	case eelgrasspoint.TimedOut:
 		stats.ObserveStatus(true, now)
--- a/outcome.go
+++ b/outcome.go
@@ -59,6 +59,9 @@
 	NotReady
 	// RejectedByServer means that the backend server answered that it did not execute the request.
 	RejectedByServer
+	// MalformedAnswer means that the backend server sent bytes that are no HTTP answer, or a head longer
+	// than MaxAnswerHeaderBytes; the request may have run.
+	MalformedAnswer
 )
 
 // AttemptState is the progress of an attempt.
@@ -121,7 +124,7 @@
 
 // ParseReason returns the reason with the name, or NoReason.
 func ParseReason(name string) Reason {
-	for r := NoReason; r <= RejectedByServer; r++ {
+	for r := NoReason; r <= MalformedAnswer; r++ {
 		if r.String() == name {
 			return r
 		}
--- a/standin/babbler/babbler.go
+++ b/standin/babbler/babbler.go
@@ -22,6 +22,8 @@
 	Begin, Repeat string
 	// Pause is the pause after each byte of Repeat; without it, Repeat is written as fast as it is read.
 	Pause time.Duration
+	// HangUp closes the connection after Begin.
+	HangUp bool
 }
 
 // maxBytes bounds what is written to one connection, so that a test of a reader without a bound ends.
@@ -121,7 +123,7 @@
 		return false
 	}
 	if b.script.Repeat == "" {
-		return true
+		return !b.script.HangUp
 	}
 	if b.script.Pause > 0 {
 		b.drip(conn)
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 )
@@ -43,17 +44,28 @@
 	return c.passedToWrite.Load(), true
 }
 
+// Broken reports whether a read or write of a connection that a Dialer opened has failed, the end of what the
+// other side sends included. A connection that was closed on this side isn't broken by that. For any other
+// connection it returns true.
+func Broken(conn net.Conn) bool {
+	c, ok := conn.(*countingConn)
+	return !ok || c.broken.Load()
+}
+
 // countingConn adds the bytes read and written to those of its dialer.
 type countingConn struct {
 	net.Conn
 	dialer *Dialer
 	// passedToWrite counts the bytes passed to Write, which may be more than were sent.
 	passedToWrite atomic.Int64
+	// broken is set once a read or write has failed while the connection was open on this side.
+	broken atomic.Bool
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.dialer.read.Add(int64(n))
+	c.noteError(err)
 	return n, err
 }
 
@@ -63,5 +75,12 @@
 	c.passedToWrite.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.dialer.written.Add(int64(n))
+	c.noteError(err)
 	return n, err
 }
+
+func (c *countingConn) noteError(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.broken.Store(true)
+	}
+}
