Reject a backend server's answer with a status below 200

What callers saw: nothing yet; found by a test of ours. An answer with status 101 is a 200 with the bytes that follow as its body for callers of another node, and one with a status below 100 (000 to 099) makes the handler panic, so that the caller's connection ends without an answer.

Cause: net/http returns 101 and statuses below 100 to its client like final ones, and the executor relayed them. A server of net/http writes 101 as an informational answer on HTTP/2, after which the body's first write sends 200, and panics for a status below 100.

Failing before (go test ./coordination/executor -run Status): an answer with status 000 Zero is relayed an answer with status 099 Low is relayed an answer with status 101 Switching Protocols is relayed A trial of the way between nodes alone (a handler that writes the status and "bytes" behind the dispatcher): "101 200 bytes", and "http2: panic serving: invalid WriteHeader code 0". After: MalformedAnswer, the connection is closed.

Why it works: all answers of backend servers pass run.checkResponse. No upgrade is ever asked for, since Upgrade is a header of one connection and isn't forwarded. Health checks require status 200.

--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -156,6 +156,23 @@
 	return stats.HeapAlloc
 }
 
+// TestStatusThatIsNoAnswer guards against relaying a status that ends no request: one below 100 makes the
+// handler panic, and 101 reaches the entry node as 200.
+func TestStatusThatIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Zero", "099 Low", "101 Switching Protocols"} {
+		t.Run(status, func(t *testing.T) {
+			b, e := startBabbler(t, babbler.Script{Begin: "HTTP/1.1 " + status + "\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", Repeat: "bytes"})
+			answer, err := e.RoundTrip(t.Context(), nil, newAttempt(false, 0))
+			if err == nil {
+				answer.Response.Body.Close()
+			}
+			assert.Assert(t, err != nil, "an answer with status %s is relayed", status)
+			assert.Equal(t, eelgrasspoint.AsOutcome(err).Reason, eelgrasspoint.MalformedAnswer)
+			waitClosed(t, b)
+		})
+	}
+}
+
 // TestBodyWithoutEnd guards against an answer without end that keeps its slot or its connection after the
 // deadline or after the caller left, or that ends as if it were complete.
 func TestBodyWithoutEnd(t *testing.T) {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -62,7 +62,7 @@
 // checkResponse returns the response if it answers the request. If the backend server refused the request,
 // or the response can't be that of the request, it finishes the run and returns an error.
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
-	metadata, err := r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+	metadata, err := r.readAnswer(response)
 	r.executor.recordLoad(metadata)
 	if err == nil && !metadata.NotRun {
 		return r.wrapResponse(ctx, response), nil
@@ -76,6 +76,17 @@
 	return nil, eelgrasspoint.Refuse(metadata.Reason, "")
 }
 
+// readAnswer reads the headers of the response. A status below 200 is no final answer: net/http returns 101
+// and those below 100, but its servers can't send them.
+func (r *run) readAnswer(response *http.Response) (eelgrasspoint.AnswerMetadata, error) {
+	if response.StatusCode < http.StatusOK {
+		return eelgrasspoint.AnswerMetadata{}, &eelgrasspoint.OutcomeError{
+			Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.MalformedAnswer, Detail: "status " + response.Status,
+		}
+	}
+	return r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+}
+
 // tryResult is the result of one try to send the request.
 type tryResult struct {
 	response *http.Response
