Never take bytes that came before a request for its answer

What callers saw: found by a test of ours. A backend server that sends more bytes after a complete answer, as a faulty one may, can have them taken for the answer to the next request on that connection. With the project's own contract, whose answers bear no identifier, that request gets an answer of another; on the users' platform the identifier tells, and the request ends with 502 though nothing of it was sent anywhere else. Requests for which a connection is just being released are hit most.

Cause: net/http hands an idle connection to the next request before it looks whether bytes are left on it. If the request comes first, it reads them as its answer.

Change: before a request is sent, dialer.BeginRequest waits until net/http waits for bytes on the connection or has given it up. From then on, bytes that arrive or an end of the connection make the request's first write fail with nothing sent, so the attempt is NotRun. An answer for a request of which nothing was written is dropped. Health checks do the same.

Why it works: on an idle connection net/http reads only if nothing is buffered, and closes it otherwise. What remains: bytes that arrive after the request was written can be told from its answer only by the identifier.

--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -237,11 +237,57 @@
 	assert.Equal(t, e.Load().InUse, uint32(0))
 }
 
+// TestBytesOnAnIdleConnection guards against bytes that belong to no request and are taken for an answer.
+func TestBytesOnAnIdleConnection(t *testing.T) {
+	const extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+	const own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+	cases := []struct {
+		name   string
+		script babbler.Script
+	}{
+		{"after an answer", babbler.Script{Begin: own + extra}},
+		{"after an answer without a body", babbler.Script{Begin: "HTTP/1.1 204 No Content\r\n\r\n" + extra}},
+		{"no answer after an answer", babbler.Script{Begin: own + "extra"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, e := startBabbler(t, c.script)
+			const workers, requests = 16, 100
+			results := make(chan string, workers*requests)
+			for range workers {
+				go func() {
+					for range requests {
+						results <- readAnswer(e)
+					}
+				}()
+			}
+			counts := make(map[string]int)
+			for range workers * requests {
+				counts[<-results]++
+			}
+			t.Logf("%v, %d requests arrived on %d connections", counts, b.Requests(), b.Accepted())
+			assert.Equal(t, counts["extra"], 0)
+			assert.Equal(t, counts["MayHaveRun MalformedAnswer"], 0)
+			assert.Assert(t, b.Requests() <= b.Accepted(), "%d requests on %d connections", b.Requests(), b.Accepted())
+		})
+	}
+}
+
+// TestBytesBeforeAnyAnswer guards against bytes on a new connection that are taken for the begin of an answer.
+func TestBytesBeforeAnyAnswer(t *testing.T) {
+	b, e := startBabbler(t, babbler.Script{Greeting: "garbage\r\n\r\n", Begin: okHead + "Content-Length: 3\r\n\r\nown"})
+	for range 20 {
+		got := readAnswer(e)
+		assert.Assert(t, got == "NotRun ServerUnreachable" || got == "MayHaveRun MalformedAnswer", got)
+	}
+	waitClosed(t, b)
+}
+
 // readAnswer sends a request and returns the body of its answer, or the reason that there is none.
 func readAnswer(e *executor.Executor) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer, err := e.RoundTrip(ctx, nil, newAttempt(false, 0))
+	answer, err := e.RoundTrip(ctx, nil, newAttempt(true, 0))
 	if err != nil {
 		outcome := eelgrasspoint.AsOutcome(err)
 		return outcome.Outcome.String() + " " + outcome.Reason.String()
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"time"
 
 	"eelgrasspoint"
+	"eelgrasspoint/transport/dialer"
 )
 
 // Ages up to which reports of the backend server are used.
@@ -204,7 +206,8 @@
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Path: path},
 		Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	response, err := transport.RoundTrip(request.WithContext(ctx))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { dialer.BeginRequest(info.Conn) }}
+	response, err := transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return eelgrasspoint.Health{}, err
 	}
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -104,20 +104,27 @@
 	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		r.conn, reused = info.Conn, info.Reused
+		dialer.BeginRequest(info.Conn)
 		writtenBefore, _ = dialer.BytesPassedToWrite(info.Conn)
 	}}
 	response, err := r.transport.RoundTrip(r.newRequest(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil {
-		return tryResult{response: response, state: eelgrasspoint.AttemptAnswering}
-	}
 	if r.conn == nil {
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent}
 	}
 	writtenAfter, counted := dialer.BytesPassedToWrite(r.conn)
-	if counted && writtenAfter == writtenBefore {
+	notSent := counted && writtenAfter == writtenBefore
+	switch {
+	case notSent && err == nil:
+		// The answer came before the request, so it belongs to no request.
+		response.Body.Close()
+		return tryResult{err: dialer.ErrUnusable, state: eelgrasspoint.AttemptNotSent, stale: reused}
+	case notSent:
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent, stale: reused}
+	case err != nil:
+		return tryResult{err: err, state: eelgrasspoint.AttemptSent}
+	default:
+		return tryResult{response: response, state: eelgrasspoint.AttemptAnswering}
 	}
-	return tryResult{err: err, state: eelgrasspoint.AttemptSent}
 }
 
 func (r *run) newRequest(ctx context.Context) *http.Request {
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -27,7 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, dialer: d}, nil
+	c := &countingConn{Conn: conn, dialer: d}
+	c.changed.L = &c.mu
+	return c, nil
 }
 
 // Bytes returns the bytes read and written over all connections so far. Of a failed write, it counts only the
@@ -52,6 +55,26 @@
 	return !ok || c.broken.Load()
 }
 
+// ErrUnusable is the error of the first write of a request on a connection that can't answer it.
+var ErrUnusable = errors.New("the connection ended, or bytes arrived on it, before the request was written")
+
+// BeginRequest waits until the reader of an idle connection that a Dialer opened has consumed all bytes and
+// waits for more, or the connection has ended. If it ends or more bytes arrive before the next write, that write
+// fails with ErrUnusable: the bytes can't belong to its request. The reader must read while the connection is
+// idle.
+func BeginRequest(conn net.Conn) {
+	c, ok := conn.(*countingConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.reading && !c.ended {
+		c.changed.Wait()
+	}
+	c.requestBegun, c.readBefore = true, c.bytesRead
+}
+
 // countingConn adds the bytes read and written to those of its dialer.
 type countingConn struct {
 	net.Conn
@@ -60,25 +83,72 @@
 	passedToWrite atomic.Int64
 	// broken is set once a read or write has failed while the connection was open on this side.
 	broken atomic.Bool
+
+	mu sync.Mutex
+	// changed is signaled when reading or ended is set.
+	changed sync.Cond
+	// reading is set while a read is in progress.
+	reading bool
+	// ended is set once a read has failed or the connection was closed on this side.
+	ended     bool
+	bytesRead int64
+	// requestBegun is set between BeginRequest and the next write; readBefore is bytesRead at BeginRequest.
+	requestBegun bool
+	readBefore   int64
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
+	c.setReading(0, nil, true)
 	n, err := c.Conn.Read(p)
+	c.setReading(n, err, false)
 	c.dialer.read.Add(int64(n))
 	c.noteError(err)
 	return n, err
 }
 
+// setReading records the start of a read, or its end with its result.
+func (c *countingConn) setReading(n int, err error, reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.bytesRead += int64(n)
+	c.ended = c.ended || err != nil
+	c.changed.Broadcast()
+}
+
 // Write adds the whole of p to passedToWrite before it writes, because a failed write may still have sent a part
-// of p.
+// of p. It adds nothing if it fails with ErrUnusable.
 func (c *countingConn) Write(p []byte) (int, error) {
-	c.passedToWrite.Add(int64(len(p)))
+	if !c.beginWrite(len(p)) {
+		return 0, ErrUnusable
+	}
 	n, err := c.Conn.Write(p)
 	c.dialer.written.Add(int64(n))
 	c.noteError(err)
 	return n, err
 }
 
+// beginWrite reports whether a write may begin, and counts its bytes if so.
+func (c *countingConn) beginWrite(bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requestBegun && (c.ended || c.bytesRead != c.readBefore) {
+		return false
+	}
+	c.requestBegun = false
+	c.passedToWrite.Add(int64(bytes))
+	return true
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	c.mu.Lock()
+	c.ended = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 func (c *countingConn) noteError(err error) {
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.broken.Store(true)
