--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"time"
 
 	"eelgrasspoint"
+	"eelgrasspoint/transport/dialer"
 )
 
 // Ages up to which reports of the backend server are used.
@@ -191,7 +193,9 @@
 // CheckHealth sends a health check to an address that no backend server has announced yet, over a new
 // connection.
 func (e *Executor) CheckHealth(ctx context.Context, address netip.AddrPort, path string) (eelgrasspoint.Health, error) {
-	transport := &http.Transport{DialContext: e.options.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{
+		DialContext: e.options.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
+	}
 	return e.sendHealthCheck(ctx, transport, address, path)
 }
 
@@ -202,7 +206,8 @@
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Path: path},
 		Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	response, err := transport.RoundTrip(request.WithContext(ctx))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { dialer.BeginRequest(info.Conn) }}
+	response, err := transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return eelgrasspoint.Health{}, err
 	}
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -33,8 +33,10 @@
 	usualSpeed, crowded bool
 	// answeredAt is the time of the response headers in Unix nanoseconds, or zero.
 	answeredAt atomic.Int64
-	finished   atomic.Bool
-	bodyRead   atomic.Bool
+	// conn is the connection of the last try, nil if it got none.
+	conn     net.Conn
+	finished atomic.Bool
+	bodyRead atomic.Bool
 }
 
 // maxTries bounds how often a run tries to send its request. It tries again only if a reused connection
@@ -60,7 +62,7 @@
 // checkResponse returns the response if it answers the request. If the backend server refused the request,
 // or the response can't be that of the request, it finishes the run and returns an error.
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
-	metadata, err := r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+	metadata, err := r.readAnswer(response)
 	r.executor.recordLoad(metadata)
 	if err == nil && !metadata.NotRun {
 		return r.wrapResponse(ctx, response), nil
@@ -74,6 +76,17 @@
 	return nil, eelgrasspoint.Refuse(metadata.Reason, "")
 }
 
+// readAnswer reads the headers of the response. A status below 200 is no final answer: net/http returns 101
+// and those below 100, but its servers can't send them.
+func (r *run) readAnswer(response *http.Response) (eelgrasspoint.AnswerMetadata, error) {
+	if response.StatusCode < http.StatusOK {
+		return eelgrasspoint.AnswerMetadata{}, &eelgrasspoint.OutcomeError{
+			Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.MalformedAnswer, Detail: "status " + response.Status,
+		}
+	}
+	return r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+}
+
 // tryResult is the result of one try to send the request.
 type tryResult struct {
 	response *http.Response
@@ -86,25 +99,32 @@
 // send sends the request once. net/http may repeat it only if it can prove that nothing was written;
 // newRequest rules out the other repeats.
 func (r *run) send(ctx context.Context) tryResult {
-	var conn net.Conn
+	r.conn = nil
 	var writtenBefore int64
 	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, reused = info.Conn, info.Reused
+		r.conn, reused = info.Conn, info.Reused
+		dialer.BeginRequest(info.Conn)
 		writtenBefore, _ = dialer.BytesPassedToWrite(info.Conn)
 	}}
 	response, err := r.transport.RoundTrip(r.newRequest(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil {
-		return tryResult{response: response, state: eelgrasspoint.AttemptAnswering}
-	}
-	if conn == nil {
+	if r.conn == nil {
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent}
 	}
-	writtenAfter, counted := dialer.BytesPassedToWrite(conn)
-	if counted && writtenAfter == writtenBefore {
+	writtenAfter, counted := dialer.BytesPassedToWrite(r.conn)
+	notSent := counted && writtenAfter == writtenBefore
+	switch {
+	case notSent && err == nil:
+		// The answer came before the request, so it belongs to no request.
+		response.Body.Close()
+		return tryResult{err: dialer.ErrUnusable, state: eelgrasspoint.AttemptNotSent, stale: reused}
+	case notSent:
 		return tryResult{err: err, state: eelgrasspoint.AttemptNotSent, stale: reused}
+	case err != nil:
+		return tryResult{err: err, state: eelgrasspoint.AttemptSent}
+	default:
+		return tryResult{response: response, state: eelgrasspoint.AttemptAnswering}
 	}
-	return tryResult{err: err, state: eelgrasspoint.AttemptSent}
 }
 
 func (r *run) newRequest(ctx context.Context) *http.Request {
@@ -157,8 +177,7 @@
 // fail finishes a run that got no response, and returns its outcome as an error.
 func (r *run) fail(ctx context.Context, result tryResult) error {
 	refused := errors.Is(result.err, syscall.ECONNREFUSED)
-	lost := result.state == eelgrasspoint.AttemptSent && ctx.Err() == nil && !isRequestBodyError(result.err)
-	if lost {
+	if result.state == eelgrasspoint.AttemptSent && r.endReason(ctx, result.err) == eelgrasspoint.ConnectionLost {
 		r.executor.connectionLost(r)
 	}
 	if refused {
@@ -179,11 +198,24 @@
 	if result.state == eelgrasspoint.AttemptNotSent {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), result.err.Error())
 	}
-	reason := eelgrasspoint.LostReason(ctx)
-	if ctx.Err() == nil && isRequestBodyError(result.err) {
-		reason = eelgrasspoint.BodyCutShort
+	return &eelgrasspoint.OutcomeError{
+		Outcome: eelgrasspoint.MayHaveRun, Reason: r.endReason(ctx, result.err), Detail: result.err.Error(),
+	}
+}
+
+// endReason returns why a request that was sent got no answer, or no whole one. If net/http gave up the
+// connection although no read or write of it failed, the backend server's bytes are no answer.
+func (r *run) endReason(ctx context.Context, err error) eelgrasspoint.Reason {
+	switch {
+	case ctx.Err() != nil:
+		return eelgrasspoint.LostReason(ctx)
+	case isRequestBodyError(err):
+		return eelgrasspoint.BodyCutShort
+	case !dialer.Broken(r.conn):
+		return eelgrasspoint.MalformedAnswer
+	default:
+		return eelgrasspoint.ConnectionLost
 	}
-	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: result.err.Error()}
 }
 
 // serviceTime returns the time from the start to the response headers, or until now without a response. It
@@ -220,14 +252,24 @@
 	case err == io.EOF:
 		b.run.executor.finish(b.run, b.sample())
 	case err != nil:
-		if b.ctx.Err() == nil {
-			b.run.executor.connectionLost(b.run)
-		}
+		b.noteFailure(err)
 		b.run.executor.finish(b.run, eelgrasspoint.Sample{Ignored: b.ctx.Err() != nil})
 	}
 	return n, err
 }
 
+// noteFailure handles an error in reading the body.
+func (b *responseBody) noteFailure(err error) {
+	switch reason := b.run.endReason(b.ctx, err); reason {
+	case eelgrasspoint.ConnectionLost:
+		b.run.executor.connectionLost(b.run)
+	case eelgrasspoint.MalformedAnswer:
+		b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
+			Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error(),
+		})
+	}
+}
+
 // Close implements io.Closer. If the body was not read to its end, net/http closes the connection, so
 // that the rest of the answer can't reach another request.
 func (b *responseBody) Close() error {
