--- /dev/null
+++ b/coordination/fetcher/fetcher_test.go
@@ -0,0 +1,128 @@
+package fetcher_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/fetcher"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/state/holder"
+	"eelgrasspoint/state/meter"
+	"eelgrasspoint/state/recorder"
+)
+
+// member is a stand-in for another node, which answers each call for its configuration after a delay.
+type member struct {
+	schema.Exchange
+	revision uint64
+	delay    time.Duration
+	calls    atomic.Int32
+}
+
+func (m *member) Configuration(ctx context.Context, _ *schema.ConfigurationRequest) (*schema.GetResponse, error) {
+	m.calls.Add(1)
+	select {
+	case <-time.After(m.delay):
+	case <-ctx.Done():
+	}
+	return &schema.GetResponse{Revision: m.revision, Configuration: &schema.Document{}}, nil
+}
+
+// network connects a fetcher to members in memory.
+type network map[string]*member
+
+func (n network) RoundTrip(r *http.Request) (*http.Response, error) {
+	answered := make(chan *http.Response, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		schema.NewExchangeServer(n[r.URL.Host]).ServeHTTP(w, r)
+		answered <- w.Result()
+	}()
+	select {
+	case response := <-answered:
+		return response, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+type fixture struct {
+	fetcher    *fetcher.Fetcher
+	controller *controller.Controller
+}
+
+// withFetcher runs check in virtual time with a fetcher whose node is at revision 1.
+func withFetcher(t *testing.T, members network, check func(t *testing.T, f fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := recorder.New("self", time.Now, log)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := controller.New(controller.Options{
+			Self: eelgrasspoint.Member{Name: "self"}, Recorder: r, Clock: time.Now,
+			Holder:     holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}}),
+			SetBackend: func(*eelgrasspoint.BackendServer) {},
+		})
+		go c.Run(ctx)
+		c.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: 1}})
+		c.WaitApplied()
+		check(t, fixture{controller: c, fetcher: fetcher.New(fetcher.Options{
+			Controller: c, Client: &http.Client{Transport: members}, Recorder: r, Clock: time.Now,
+			Meter: meter.New(meter.Source{}),
+		})})
+		time.Sleep(eelgrasspoint.ConfigurationTimeout)
+	})
+}
+
+func at(address string) eelgrasspoint.Member {
+	return eelgrasspoint.Member{Name: address, PeerAddress: netip.MustParseAddrPort(address)}
+}
+
+// TestSilentMemberHoldsUpNoOther guards against a node that waits for a member that is gone although another
+// member has the configuration.
+func TestSilentMemberHoldsUpNoOther(t *testing.T) {
+	members := network{"10.0.0.1:1": {delay: time.Hour}, "10.0.0.2:1": {revision: 2}}
+	withFetcher(t, members, func(t *testing.T, f fixture) {
+		start := time.Now()
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
+		time.Sleep(eelgrasspoint.HeartbeatTimeout)
+		f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), 1)
+		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+		assert.Equal(t, time.Since(start), eelgrasspoint.HeartbeatTimeout)
+	})
+}
+
+// TestFetchOutlivesItsCaller guards against a configuration that is thrown away, and asked for again, because the
+// request that waited for it ended.
+func TestFetchOutlivesItsCaller(t *testing.T) {
+	members := network{"10.0.0.1:1": {revision: 2, delay: time.Second}}
+	withFetcher(t, members, func(t *testing.T, f fixture) {
+		var group sync.WaitGroup
+		for range 20 {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), eelgrasspoint.HeartbeatTimeout)
+				defer cancel()
+				f.fetcher.Fetch(ctx, at("10.0.0.1:1"), 1)
+			})
+		}
+		group.Wait()
+		f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
+		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+		assert.Equal(t, members["10.0.0.1:1"].calls.Load(), int32(1))
+	})
+}
