An answer without a final status is not relayed

Seen by callers: when a backend server answered with a status below 100, its own node closed the connection without an answer. When it answered 101, a caller of another node got 200 and no body, a success that no backend server gave; a caller of its own node got 101, or nothing until it gave up. Cause: net/http's transport returns any three digits as the status, and 101 as a final response. A handler can't write a status below 100: WriteHeader panics. Over HTTP/2 it writes 101 as an interim response, and the end of the handler then writes 200. Why it works: every answer of a backend server passes the executor, at its own node and at exit nodes. Ruled out: statuses of 600 and above; they are relayed unchanged by both servers.

--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -60,7 +61,7 @@
 // checkResponse returns the response if it answers the request. If the backend server refused the request,
 // or the response can't be that of the request, it finishes the run and returns an error.
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
-	metadata, err := r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+	metadata, err := r.readAnswer(response)
 	r.executor.recordLoad(metadata)
 	if err == nil && !metadata.NotRun {
 		return r.wrapResponse(ctx, response), nil
@@ -74,6 +75,18 @@
 	return nil, eelgrasspoint.Refuse(metadata.Reason, "")
 }
 
+// readAnswer reads the headers of a final response. net/http has skipped the interim ones, but returns 101,
+// which no request asked for, and statuses below 100, which a handler can't write.
+func (r *run) readAnswer(response *http.Response) (eelgrasspoint.AnswerMetadata, error) {
+	if response.StatusCode < http.StatusOK {
+		return eelgrasspoint.AnswerMetadata{}, &eelgrasspoint.OutcomeError{
+			Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.BadAnswer,
+			Detail: fmt.Sprintf("status %d is not that of a final response", response.StatusCode),
+		}
+	}
+	return r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
+}
+
 // tryResult is the result of one try to send the request.
 type tryResult struct {
 	response *http.Response
