Trailers that frame a message are not relayed

Seen by callers: an answer that they can't read. A backend server repeats Content-Length, Transfer-Encoding or Trailer in the trailers of a chunked answer, and its own node announces them. Cause: the relayer announced and wrote every trailer, which is known before the header is written when the whole answer was prefetched. RFC 9110, section 6.5.1, forbids these trailers, and recipients reject them. Evidence, TestTrailersThatFrameAMessage on the code before, at the own node: net/http: HTTP/1.x transport connection broken: bad trailer key "Content-Length" Change: the hop-by-hop names and Content-Length are removed from the trailers, before they are announced and again when the body has ended. Why it works: both places that use the trailers see only those that may be relayed. Ruled out: answers of other nodes; net/http's HTTP/2 server leaves these trailers out.

--- a/standin/proof/rawanswers_test.go
+++ b/standin/proof/rawanswers_test.go
@@ -77,3 +77,30 @@
 		}
 	}
 }
+
+// TestTrailersThatFrameAMessage guards against an answer that its caller can't read, since a backend server
+// repeats Content-Length or Transfer-Encoding in the trailers.
+func TestTrailersThatFrameAMessage(t *testing.T) {
+	for _, name := range []string{"Content-Length", "Transfer-Encoding", "Trailer"} {
+		for _, ownNode := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/own node %v", name, ownNode), func(t *testing.T) {
+				withPair(t, backend.Behavior{}, func(t *testing.T, p *pair) {
+					chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4\r\nbody\r\n0\r\n"
+					defer answerRaw(t, p, chunked+name+": 7\r\nX-Sum: 9\r\n\r\n")()
+					node := p.entry
+					if ownNode {
+						node = p.exit
+					}
+					response, err := p.client.Get(node.URL("/bookings"))
+					assert.NilError(t, err)
+					defer response.Body.Close()
+					body, err := io.ReadAll(response.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, string(body), "body")
+					assert.Equal(t, response.Trailer.Get("X-Sum"), "9")
+					assert.Equal(t, response.Trailer.Get(name), "")
+				})
+			})
+		}
+	}
+}
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -46,11 +46,13 @@
 func (r *Relayer) Relay(w http.ResponseWriter, response *http.Response) {
 	defer response.Body.Close()
 	copyHeader(w.Header(), response.Header)
+	stripTrailers(response.Trailer)
 	announceTrailers(w.Header(), response.Trailer)
 	w.WriteHeader(response.StatusCode)
 	if !r.copyBody(w, response) {
 		panic(http.ErrAbortHandler)
 	}
+	stripTrailers(response.Trailer)
 	for name, values := range response.Trailer {
 		w.Header()[name] = values
 	}
@@ -88,6 +90,13 @@
 	}
 }
 
+// stripTrailers removes the trailers that frame a message, which recipients reject (RFC 9110, section 6.5.1).
+// The trailers of a response may become known only at the end of its body.
+func stripTrailers(trailer http.Header) {
+	StripHopByHop(trailer)
+	trailer.Del("Content-Length")
+}
+
 func announceTrailers(header, trailer http.Header) {
 	for name := range trailer {
 		header.Add("Trailer", name)
