An answer without a body reaches callers of other nodes

Seen by callers: 502 (ConnectionLost) in place of a backend server's 304, or 204, with a Content-Length, at every node but the backend server's own. A 304 may have the length of the body that it stands for (RFC 9110, section 8.6). Cause: the exit node relayed the length and no body, and net/http's HTTP/2 client rejects a response that ends before its Content-Length, unless the request was HEAD. Evidence, TestLengthWithoutBody on the code before: 304 GET, other node: 502 (got.status int) != 304 {outcome:MayHaveRun reason:ConnectionLost}; 204: the same Change: the executor removes the length from answers with these statuses; HTTP needs it in neither. Why it works: the response between the nodes no longer announces a body that does not follow. Ruled out: answers to HEAD; they pass with their length.

--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -209,11 +209,16 @@
 }
 
 // wrapResponse removes the hop-by-hop headers and those of the load balancer itself, and wraps the body in
-// a responseBody.
+// a responseBody. It also removes the length of a body that the status excludes: net/http's HTTP/2 client
+// rejects a response that ends before its Content-Length, other than to HEAD.
 func (r *run) wrapResponse(ctx context.Context, response *http.Response) *http.Response {
 	r.answeredAt.Store(r.executor.options.Clock().UnixNano())
 	relayer.StripHopByHop(response.Header)
 	propagator.Strip(response.Header)
+	if response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified {
+		response.Header.Del("Content-Length")
+		response.ContentLength = 0
+	}
 	response.Body = &responseBody{ReadCloser: response.Body, run: r, ctx: ctx, status: response.StatusCode}
 	return response
 }
--- a/standin/proof/rawanswers_test.go
+++ b/standin/proof/rawanswers_test.go
@@ -104,3 +104,26 @@
 		}
 	}
 }
+
+// TestLengthWithoutBody guards against an answer without a body that is replaced by 502 on its way from an exit
+// node, since its Content-Length is that of a body that was not sent.
+func TestLengthWithoutBody(t *testing.T) {
+	for _, status := range []int{http.StatusNotModified, http.StatusNoContent} {
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			for _, ownNode := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d %s/own node %v", status, method, ownNode), func(t *testing.T) {
+					withPair(t, backend.Behavior{}, func(t *testing.T, p *pair) {
+						defer answerRaw(t, p, fmt.Sprintf("HTTP/1.1 %d None\r\nContent-Length: 4\r\n\r\n", status))()
+						node := p.entry
+						if ownNode {
+							node = p.exit
+						}
+						got := p.send(node, method, "/bookings", "", nil)
+						assert.Equal(t, got.status, status, "%+v", got)
+						assert.Equal(t, got.outcome, eelgrasspoint.Answered.String())
+					})
+				})
+			}
+		}
+	}
+}
