Reset the connection of an HTTP/1.0 caller whose answer is cut

What callers saw: found by a test of ours. A caller that uses HTTP/1.0 gets the part of an answer that arrived until its deadline, or until the backend server broke off, and can't tell it from the whole one.

Cause: an answer without a length ends, for HTTP/1.0, with its connection. Relay panics with http.ErrAbortHandler for an answer that is cut; net/http then closes the connection in an orderly way.

Failing before (go test ./runner -run Cut): 262283 bytes, <nil> the answer looks complete (in 4 of 8 cases, those of HTTP/1.0) After: read: connection reset by peer. HTTP/1.1 was and is "unexpected EOF".

Change: for HTTP/1.0 the forwarder takes over the connection and closes it with no time to linger, which resets it. annotatingConn passes SetLinger on.

The other new tests passed before too: a body without end by way of both nodes makes the heap grow by up to 20 MB for 64 answers whose callers don't read (two nodes in a process), and the backend server's connection is closed within 0.5 s after the caller has left.

--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -47,6 +47,25 @@
 	}
 }
 
+// resetIfCut resets the caller's connection if relaying the answer panics and the caller uses HTTP/1.0: such a
+// caller takes the end of the connection for the end of an answer without a length.
+func (p *proxiedRequest) resetIfCut(w http.ResponseWriter) {
+	if p.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	panic(cause)
+}
+
 // countedBody charges what is read to the link budget. Close ends the attempt in the candidate's
 // count of requests in flight.
 type countedBody struct {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -149,6 +149,7 @@
 	p.setConnectionClose(header)
 	defer func() { f.Meter.ObserveRequest(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(start)) }()
 	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", start, answer.Response.StatusCode)
+	defer p.resetIfCut(w)
 	f.relayer.Relay(w, answer.Response)
 }
 
--- /dev/null
+++ b/runner/endless_test.go
@@ -0,0 +1,214 @@
+package runner_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/limiter"
+	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/runner"
+	"eelgrasspoint/standin/babbler"
+	"eelgrasspoint/standin/backend"
+	"eelgrasspoint/state/loader"
+	"eelgrasspoint/state/storer"
+)
+
+// bodyTimeLimit is the time limit of the route of these tests.
+const bodyTimeLimit = 1500 * time.Millisecond
+
+// maxRequests is the number of requests that the exit node runs at once.
+const maxRequests = 64
+
+// nodes are an entry node without a backend server and an exit node with a babbler, on loopback.
+type nodes struct {
+	babbler     *babbler.Babbler
+	entry, exit *loader.Settings
+}
+
+func startNodes(t *testing.T, script babbler.Script) *nodes {
+	t.Helper()
+	b, err := babbler.New(script)
+	assert.NilError(t, err)
+	t.Cleanup(b.Close)
+	table := storer.New()
+	n := &nodes{babbler: b}
+	n.exit = startNode(t, "exit", table, nil)
+	n.entry = startNode(t, "entry", table, []netip.AddrPort{n.exit.PeerAddress})
+	go backend.Announce(t.Context(), &http.Client{}, n.exit.ControlAddress, backend.Announcement{
+		Service: "bench", Address: b.Address(), Incarnation: 1, Slots: maxRequests, Connections: 2 * maxRequests,
+	})
+	operators := schema.NewOperatorsProtobufClient("http://"+n.entry.ControlAddress.String(), &http.Client{})
+	waitFor(t, "the entry node knows the backend server", func() bool {
+		status, err := operators.Status(t.Context(), &schema.StatusRequest{})
+		if err != nil {
+			return false
+		}
+		for _, member := range status.GetNodes() {
+			if member.GetMember().GetBackendServer() != nil {
+				return true
+			}
+		}
+		return false
+	})
+	response, err := operators.Apply(t.Context(), &schema.ApplyRequest{Put: &schema.Document{
+		Regions:           []*schema.Region{{Name: "almaty"}},
+		AvailabilityZones: []*schema.AvailabilityZone{{Name: "almaty-a", Region: "almaty"}},
+		Services:          []*schema.Service{{Name: "bench"}},
+		Routes:            []*schema.Route{{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)}},
+	}})
+	assert.NilError(t, err)
+	assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
+	time.Sleep(time.Second)
+	return n
+}
+
+func startNode(t *testing.T, name string, table eelgrasspoint.Table, peers []netip.AddrPort) *loader.Settings {
+	t.Helper()
+	settings := &loader.Settings{
+		Name: name, Cluster: "stage", Region: "almaty", AvailabilityZone: "almaty-a", PlatformRegion: "almaty", Peers: peers,
+		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), ControlAddress: freeAddress(t),
+		LogLevel: "debug", ColdOvershoot: 1, MaxBodyBytes: 64 << 20, StopTimeout: time.Second,
+	}
+	settings.AdvertisedAddress = settings.PeerAddress
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	node := runner.New(runner.Options{
+		Settings: settings, Dial: (&net.Dialer{}).DialContext, Listen: net.Listen, Log: log, Clock: time.Now, Seed: 1,
+		Limiter: limiter.NewFixed(maxRequests),
+		Table:   func(func(call, result string)) eelgrasspoint.Table { return table },
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = node.Run(context.Background())
+	}()
+	t.Cleanup(func() {
+		node.Abort()
+		<-done
+	})
+	return settings
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func waitFor(t *testing.T, description string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "not so within 10 s: %s", description)
+	}
+}
+
+// sendBooking sends a request on a new connection of its own.
+func sendBooking(t *testing.T, node *loader.Settings, protocol string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", node.CallerAddress.String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /bookings %s\r\nHost: h\r\nContent-Length: 0\r\n\r\n", protocol)
+	assert.NilError(t, err)
+	return conn
+}
+
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+var endlessBodies = []struct{ name, head, repeat string }{
+	{"until close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+}
+
+// TestMemoryOfBodiesWithoutEnd guards against many answers without end at once that use up the memory of the
+// nodes while their callers don't read.
+func TestMemoryOfBodiesWithoutEnd(t *testing.T) {
+	const maxGrowthBytes = 48 << 20
+	for _, c := range endlessBodies {
+		for _, entry := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, by way of an entry node: %v", c.name, entry), func(t *testing.T) {
+				n := startNodes(t, babbler.Script{Begin: c.head, Repeat: c.repeat})
+				node := n.exit
+				if entry {
+					node = n.entry
+				}
+				runtime.GC()
+				before := heapBytes()
+				for range maxRequests {
+					sendBooking(t, node, "HTTP/1.1")
+				}
+				peak := before
+				for end := time.Now().Add(bodyTimeLimit / 2); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+					peak = max(peak, heapBytes())
+				}
+				t.Logf("heap grew by up to %d KB for %d answers, %d MB written", (peak-before)>>10, n.babbler.Requests(), n.babbler.Written()>>20)
+				assert.Assert(t, n.babbler.Requests() > maxRequests/2, "%d requests", n.babbler.Requests())
+				assert.Assert(t, peak-before < maxGrowthBytes, "the heap grew by %d MB", (peak-before)>>20)
+			})
+		}
+	}
+}
+
+// TestBodyWithoutEndIsCutAtTheDeadline guards against an answer without end that looks complete at its caller
+// once its time is over, or whose backend server goes on to write.
+func TestBodyWithoutEndIsCutAtTheDeadline(t *testing.T) {
+	for _, c := range endlessBodies {
+		// The entry node relays nothing before it has read MaxPrefetchBytes.
+		begin := c.head + strings.Repeat(c.repeat, 4*eelgrasspoint.MaxPrefetchBytes/len(c.repeat))
+		n := startNodes(t, babbler.Script{Begin: begin, Repeat: c.repeat, Pause: 10 * time.Millisecond})
+		for _, node := range []*loader.Settings{n.entry, n.exit} {
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				t.Run(c.name+", at the "+node.Name+" node, "+protocol, func(t *testing.T) {
+					start := time.Now()
+					response, err := http.ReadResponse(bufio.NewReader(sendBooking(t, node, protocol)), nil)
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					body, err := io.ReadAll(response.Body)
+					t.Logf("%d bytes, %v", len(body), err)
+					assert.Assert(t, err != nil, "the answer looks complete")
+					took := time.Since(start)
+					assert.Assert(t, took < bodyTimeLimit+500*time.Millisecond, "ended after %v", took)
+					waitFor(t, "connections to the backend server are closed", func() bool { return n.babbler.Open() == 0 })
+				})
+			}
+		}
+	}
+}
+
+// TestBodyWithoutEndStopsWhenCallerLeaves guards against a backend server that writes on half a second after
+// its caller has closed the connection.
+func TestBodyWithoutEndStopsWhenCallerLeaves(t *testing.T) {
+	for _, c := range endlessBodies {
+		n := startNodes(t, babbler.Script{Begin: c.head, Repeat: c.repeat})
+		for _, node := range []*loader.Settings{n.entry, n.exit} {
+			t.Run(c.name+", at the "+node.Name+" node", func(t *testing.T) {
+				conn := sendBooking(t, node, "HTTP/1.1")
+				_, err := io.CopyN(io.Discard, conn, 1<<20)
+				assert.NilError(t, err)
+				_ = conn.Close()
+				time.Sleep(500 * time.Millisecond)
+				assert.Equal(t, n.babbler.Open(), int64(0))
+			})
+		}
+	}
+}
--- a/transport/annotator/annotator.go
+++ b/transport/annotator/annotator.go
@@ -57,6 +57,14 @@
 	return len(p), nil
 }
 
+// SetLinger passes on the call to a TCP connection.
+func (c *annotatingConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite closes the write side. net/http calls it before it closes a connection, so that the caller can
 // still read the last response.
 func (c *annotatingConn) CloseWrite() error {
