Bound what all answers of a node buffer before they are relayed

What callers saw: nothing yet; found by a test of ours. Each request may have 64 KiB of its answer buffered at the entry node until its caller has taken it. Answers without a length, and without end, use all of that: 1000 at once hold 62 MB at a node whose goal is 32 MB. 128 do it with 8 MB.

Cause: the replay buffers of request bodies have a bound for the process, the buffers of answers had one for each answer only.

Change: MaxPrefetchTotalBytes (8 MiB). An answer beyond it is relayed as it arrives; if it then breaks off, it can't be replaced by another attempt, and the caller sees it cut, as with answers longer than 64 KiB.

Not measured: how many answers a node of the grown machines has in this state; 1000 is a guess of the worst.

--- a/constants.go
+++ b/constants.go
@@ -55,7 +55,10 @@
 	// MaxPrefetchBytes bounds what is read of an answer before any of it is relayed, so that the
 	// request can be sent elsewhere if the answer breaks off.
 	MaxPrefetchBytes = 64 << 10
-	RelayBufferBytes = 32 << 10
+	// MaxPrefetchTotalBytes bounds the same for all answers of the process. Answers beyond it are relayed as
+	// they arrive.
+	MaxPrefetchTotalBytes = 8 << 20
+	RelayBufferBytes      = 32 << 10
 )
 
 // Time limits of requests and pauses between them.
--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"eelgrasspoint"
@@ -12,19 +13,29 @@
 
 // prefetch buffers the first MaxPrefetchBytes of an answer before any of it is relayed, so that the
 // request can still be sent elsewhere if reading the answer fails. Event streams, answers known to be
-// longer and answers to HEAD are not buffered.
+// longer, answers to HEAD and answers beyond MaxPrefetchTotalBytes are not buffered.
 func (p *proxiedRequest) prefetch(answer *eelgrasspoint.Answer) error {
 	response := answer.Response
 	stream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
 	if stream || response.ContentLength > eelgrasspoint.MaxPrefetchBytes || p.request.Method == http.MethodHead {
 		return nil
 	}
+	expected := response.ContentLength
+	if expected < 0 {
+		expected = eelgrasspoint.MaxPrefetchBytes
+	}
+	body := &prefetchedBody{body: response.Body, prefetched: &p.forwarder.prefetched}
+	if !body.reserve(expected) {
+		return nil
+	}
 	prefix, err := io.ReadAll(io.LimitReader(response.Body, eelgrasspoint.MaxPrefetchBytes))
 	if err != nil {
-		response.Body.Close()
+		body.Close()
 		return err
 	}
-	response.Body = &prefetchedBody{Reader: io.MultiReader(bytes.NewReader(prefix), response.Body), Closer: response.Body}
+	body.release(expected - int64(len(prefix)))
+	body.Reader = io.MultiReader(bytes.NewReader(prefix), response.Body)
+	response.Body = body
 	return nil
 }
 
@@ -32,10 +43,35 @@
 // as it arrives.
 const eventStream = "text/event-stream"
 
-// prefetchedBody reads the buffered prefix of a body and then the rest of it.
+// prefetchedBody reads the buffered prefix of a body and then the rest of it. Close releases the bytes that
+// are reserved for the prefix.
 type prefetchedBody struct {
 	io.Reader
-	io.Closer
+	body io.Closer
+	// prefetched counts the bytes that are reserved by all answers.
+	prefetched *atomic.Int64
+	reserved   int64
+}
+
+// reserve reserves n bytes of MaxPrefetchTotalBytes and reports whether that many were left.
+func (b *prefetchedBody) reserve(n int64) bool {
+	if b.prefetched.Add(n) > eelgrasspoint.MaxPrefetchTotalBytes {
+		b.prefetched.Add(-n)
+		return false
+	}
+	b.reserved = n
+	return true
+}
+
+func (b *prefetchedBody) release(n int64) {
+	b.reserved -= n
+	b.prefetched.Add(-n)
+}
+
+// Close implements io.Closer.
+func (b *prefetchedBody) Close() error {
+	b.release(b.reserved)
+	return b.body.Close()
 }
 
 // setConnectionClose marks the caller's HTTP/1.1 connection to be closed if the node is stopping, or if the
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,8 @@
 type Forwarder struct {
 	Options
 	relayer *relayer.Relayer
+	// prefetched counts the bytes that are reserved for the prefetched parts of answers.
+	prefetched atomic.Int64
 }
 
 // Options are the dependencies and settings of a forwarder.
