Count an answer that violates the contract as a server error

What callers saw: nothing proved; found by reading for the same shape as MalformedAnswer. A backend server whose answers are rejected (of another request, without a stamp, a refusal without proof) fails fast, and the entry node's statistics of it don't change: it has few requests in flight and no errors, so it is chosen as before or more often.

Cause: recordFailure knew no BadAnswer.

Failing before (go test ./coordination/forwarder -run Proper): BadAnswer: false (stats.ErrorRate(now) > 0) != true After: it passes.

Change: BadAnswer counts like a timeout, in the error rate, without ejection: a refusal without proof comes from a server that is at work.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -102,14 +102,14 @@
 const estimatedHeaderBytes = 1024
 
 // recordFailure ejects a backend server that could not be reached, is gone or leaving service, lost the
-// connection or sent bytes that are no answer, and counts a timeout as a server error. A refusal because of load is not a fault of the
-// server and changes nothing.
+// connection or sent bytes that are no answer, and counts a timeout and an answer that violates the contract as
+// server errors. A refusal because of load is not a fault of the server and changes nothing.
 func recordFailure(stats *eelgrasspoint.ServerStats, err *eelgrasspoint.OutcomeError, now time.Time) {
 	switch err.Reason {
 	case eelgrasspoint.ServerUnreachable, eelgrasspoint.ConnectionLost, eelgrasspoint.MalformedAnswer,
 		eelgrasspoint.NoServer, eelgrasspoint.Draining, eelgrasspoint.ZoneOutOfService:
 		stats.RecordFailure(now)
-	case eelgrasspoint.TimedOut:
+	case eelgrasspoint.TimedOut, eelgrasspoint.BadAnswer:
 		stats.ObserveStatus(true, now)
 	}
 }
