--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -168,6 +169,22 @@
 	return resident * int64(os.Getpagesize())
 }
 
+// PeakResidentBytes returns the highest resident memory of the process so far, or 0 if it cannot be read.
+func (p *Process) PeakResidentBytes() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+			var kilobytes int64
+			_, _ = fmt.Sscan(value, &kilobytes)
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
 // CPUTime returns the CPU time used so far by the threads that the process has now.
 func (p *Process) CPUTime() time.Duration {
 	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.command.Process.Pid))
