Report a response of the table service that is longer than its bound

What callers saw: nothing; found by a test of ours. On call, a store that sends without end couldn't be told from one that sends bad JSON, and a body that is whole JSON up to the bound passed as the whole response.

Cause: the body was read through io.LimitReader, whose end looks like the end of the response.

Failing before (go test ./transport/sender -run End): <nil>; bytes kept, 34 MB allocated After: "the response is longer than bytes", nothing is kept, the connection is closed.

The bound stays at 16 MiB, though a node's goal is 32 MB: how long the store's proper responses may be wasn't measured.

--- a/transport/sender/sender.go
+++ b/transport/sender/sender.go
@@ -15,7 +15,7 @@
 	"eelgrasspoint"
 )
 
-// maxResponseBytes bounds how much of a response body is read.
+// maxResponseBytes bounds a response body.
 const maxResponseBytes = 16 << 20
 
 // Sender makes calls to a store. It is safe for concurrent use.
@@ -68,7 +68,10 @@
 		return Result{Err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if len(body) > maxResponseBytes {
+		body, err = nil, fmt.Errorf("the response is longer than %d bytes", maxResponseBytes)
+	}
 	if err == nil && (response.StatusCode < 200 || response.StatusCode > 299) {
 		err = fmt.Errorf("status %d", response.StatusCode)
 	}
