--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -299,3 +299,33 @@
 	}
 	return string(body)
 }
+
+// TestHealthCheckWithoutEnd guards against a health check that outlasts its time or leaves its connection open
+// because of an answer without end.
+func TestHealthCheckWithoutEnd(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	cases := []struct {
+		name    string
+		script  babbler.Script
+		healthy bool
+	}{
+		{"head", babbler.Script{Begin: okHead, Repeat: "A: b\r\n"}, false},
+		{"head, a byte at a time", babbler.Script{Begin: okHead, Repeat: "A: b\r\n", Pause: 10 * time.Millisecond}, false},
+		{"status line", babbler.Script{Begin: "HTTP/1.1 200 ", Repeat: "O"}, false},
+		{"100 Continue", babbler.Script{Repeat: "HTTP/1.1 100 Continue\r\n\r\n"}, false},
+		{"body", babbler.Script{Begin: okHead + "\r\n", Repeat: "x"}, true},
+		{"body, a byte at a time", babbler.Script{Begin: okHead + "\r\n", Repeat: "x", Pause: 10 * time.Millisecond}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, e := startBabbler(t, c.script)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			start := time.Now()
+			health, err := e.CheckHealth(ctx, b.Address(), "/health")
+			assert.Equal(t, health.Healthy, c.healthy, "%v", err)
+			assert.Assert(t, time.Since(start) < 5*timeout, "%v", time.Since(start))
+			waitClosed(t, b)
+		})
+	}
+}
