Release the slot of a run when its time is over, though its caller doesn't read

What callers saw: found by a test of ours. Callers that stop reading in the middle of a long answer keep its slot at the backend server beside their entry node until they close their connection, however long after the deadline. 128 such callers make the node refuse all further requests for that server.

Cause: the run ends when its body ends, fails or is closed. net/http closes the connection to the backend server at the deadline, but the relay waits in a write to the caller and reads no body, so it doesn't learn of it. By way of another entry node the exit node isn't affected: its stream is cancelled.

Failing before (go test ./runner -run GiveUp): not so within 10 s: another request reaches the backend server (at the exit node) After: it passes, 2.7 s in all for that case.

Change: the end of the run's context finishes it, which is the moment at which the connection is closed. The sample is ignored, as at any other end by the context.

What remains: the handler itself waits in that write until the caller reads or leaves.

--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -234,10 +234,12 @@
 	relayer.StripHopByHop(response.Header)
 	propagator.Strip(response.Header)
 	response.Body = &responseBody{ReadCloser: response.Body, run: r, ctx: ctx, status: response.StatusCode}
+	// net/http closes the connection when ctx ends, but nobody reads the body while a write to the caller waits.
+	context.AfterFunc(ctx, func() { r.executor.finish(r, eelgrasspoint.Sample{Ignored: true}) })
 	return response
 }
 
-// responseBody finishes its run when the body ends, fails or is closed.
+// responseBody finishes its run when the body ends, fails or is closed, or ctx ends.
 type responseBody struct {
 	io.ReadCloser
 	run    *run
--- a/runner/endless_test.go
+++ b/runner/endless_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// TestCallersThatDoNotReadGiveUpTheirSlots guards against answers whose time is over, but whose callers don't
+// read, that keep the slots of the backend server.
+func TestCallersThatDoNotReadGiveUpTheirSlots(t *testing.T) {
+	n := startNodes(t, babbler.Script{Begin: endlessBodies[0].head, Repeat: endlessBodies[0].repeat})
+	for _, node := range []*loader.Settings{n.exit, n.entry} {
+		t.Run("at the "+node.Name+" node", func(t *testing.T) {
+			for range 2 * maxRequests {
+				sendBooking(t, node, "HTTP/1.1")
+			}
+			time.Sleep(bodyTimeLimit + 500*time.Millisecond)
+			before := n.babbler.Requests()
+			sendBooking(t, node, "HTTP/1.1")
+			waitFor(t, "another request reaches the backend server", func() bool { return n.babbler.Requests() > before })
+		})
+	}
+}
