--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,8 @@
 type Forwarder struct {
 	Options
 	relayer *relayer.Relayer
+	// prefetched counts the bytes that are reserved for the prefetched parts of answers.
+	prefetched atomic.Int64
 }
 
 // Options are the dependencies and settings of a forwarder.
@@ -150,6 +153,7 @@
 	f.Meter.ObserveRequest(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(start))
 	if err != nil {
 		p.recordCutShort(err, took, answer.Response.StatusCode)
+		p.resetOldCaller(w)
 		panic(http.ErrAbortHandler)
 	}
 	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", took, answer.Response.StatusCode)
