An attempt that crosses the GOAWAY of a stopping node was not run

Seen by callers: 502 for requests that reached no backend server, at the moment in which an exit node that stops closes its connections to other nodes, if the entry node still chose it: its leave was lost or late.

Cause: GOAWAY names the last request that the exit node will process, so net/http knows that later ones were not processed. With a body it then failed with "cannot retry err [...] after Request.Body was written; define Request.GetBody", without one it tried to connect again and was refused. The dispatcher saw that there had been a connection, and took both for attempts that may have run.

net/http calls GetBody, and gets a connection once more, only for requests that the server has not processed (over HTTP/2; there is no HTTP/1 between nodes). GetBody now returns an error that stands for this, and a further GetConn withdraws the mark of a connection. Such an attempt is NotRun and goes to another node. The same holds for streams that the exit node refuses for their number.

--- a/standin/proof/stop_test.go
+++ b/standin/proof/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/chooser"
 	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/standin/backend"
 	"eelgrasspoint/standin/platform"
@@ -218,3 +220,72 @@
 		})
 	}
 }
+
+// lateChooser chooses a node's candidate first, also after the candidate's node has left, as an entry node does
+// that the announcement has not reached.
+type lateChooser struct {
+	eelgrasspoint.Chooser
+	node string
+	seen *eelgrasspoint.Candidate
+}
+
+// Choose implements eelgrasspoint.Chooser.
+func (c *lateChooser) Choose(candidates []*eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time, random *rand.Rand) *eelgrasspoint.Candidate {
+	for _, candidate := range candidates {
+		if candidate.Node == c.node {
+			c.seen = candidate
+		}
+	}
+	if c.seen != nil && len(requirements.Tried) == 0 {
+		return c.seen
+	}
+	return c.Chooser.Choose(candidates, requirements, now, random)
+}
+
+// TestStopOfExitNodeWithoutNotice guards against requests that fail since their entry node doesn't know that an
+// exit node stops: until its end, the exit node must refuse their attempts as not run.
+func TestStopOfExitNodeWithoutNotice(t *testing.T) {
+	cases := []struct{ method, body string }{{http.MethodPost, "b"}, {http.MethodDelete, ""}}
+	for _, c := range cases {
+		t.Run(c.method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				late := &lateChooser{Chooser: chooser.New()}
+				s := simulator.New(simulator.Options{
+					Shape: unlimitedNetwork, StoreRegion: "almaty",
+					Limiter: func() eelgrasspoint.Limiter { return limiter.NewFixed(200) },
+					Chooser: func() eelgrasspoint.Chooser { return late },
+				})
+				defer s.Close()
+				work := backend.Behavior{ServiceTime: 20 * time.Millisecond}
+				p := &pair{Simulator: s}
+				p.entry = s.AddNode("almaty", "almaty-a", "vitrine", 4, backend.Behavior{})
+				p.exit = s.AddNode("almaty", "almaty-b", "bench", 200, work)
+				s.AddNode("almaty", "almaty-b", "bench", 200, work)
+				time.Sleep(3 * time.Second)
+				s.ApplyDocument(t.Context(), p.entry, simulator.ExampleDocument())
+				time.Sleep(time.Second)
+				p.client = s.HTTPClient()
+				defer p.client.CloseIdleConnections()
+				late.node = p.exit.Name
+				results := make(chan callResult, 10000)
+				sent := 0
+				send := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Microsecond) {
+						sent++
+						go func() { results <- p.send(p.entry, c.method, "/bookings", c.body, nil) }()
+					}
+				}
+				send(100 * time.Millisecond)
+				stopped := stop(p.exit)
+				send(eelgrasspoint.StopNoticeTime + 100*time.Millisecond)
+				<-stopped
+				ends := map[string]int{}
+				for range sent {
+					got := <-results
+					ends[fmt.Sprintf("%s %s", got.outcome, got.reason)]++
+				}
+				assert.Equal(t, ends["Answered "], sent, "%v", ends)
+			})
+		})
+	}
+}
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -63,15 +64,23 @@
 // holds only the load hint.
 func (d *Dispatcher) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		// net/http gets another connection only if the exit node has not processed the request.
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
 	request := d.request(httptrace.WithClientTrace(ctx, trace), candidate, attempt)
 	response, err := d.transport.RoundTrip(request)
 	if err != nil {
-		return nil, attemptError(ctx, connected.Load(), err)
+		return nil, attemptError(ctx, connected.Load() && !errors.Is(err, errNotProcessed), err)
 	}
 	return parseResponse(response)
 }
 
+// errNotProcessed is the error of a request that the exit node has not processed, as one that crossed the GOAWAY
+// of a stopping node: net/http asks for the body again only then.
+var errNotProcessed = errors.New("the exit node closed the connection and has not processed the request")
+
 func (d *Dispatcher) request(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) *http.Request {
 	header := attempt.Header.Clone()
 	propagator.Write(header, &attempt.Meta, d.clock())
@@ -87,6 +96,8 @@
 	}
 	if attempt.Length == 0 {
 		request.Body = http.NoBody
+	} else {
+		request.GetBody = func() (io.ReadCloser, error) { return nil, errNotProcessed }
 	}
 	if eelgrasspoint.ExpectsContinue(attempt.Length) {
 		// The exit node can refuse the attempt before a long body is sent.
@@ -95,15 +106,15 @@
 	return request.WithContext(ctx)
 }
 
-// attemptError returns the error of an attempt without a response. Without a connection nothing was sent,
-// so the attempt was not run; with one it may have run. If there was a connection and reading the request
-// body failed, err contains an *OutcomeError; its reason is kept and its detail is dropped.
-func attemptError(ctx context.Context, connected bool, err error) error {
+// attemptError returns the error of an attempt without a response. If it was not sent on a connection, or the
+// exit node has not processed it, the attempt was not run; otherwise it may have run. If it was sent and reading
+// the request body failed, err contains an *OutcomeError; its reason is kept and its detail is dropped.
+func attemptError(ctx context.Context, sent bool, err error) error {
 	var outcome *eelgrasspoint.OutcomeError
-	if errors.As(err, &outcome) && connected {
+	if errors.As(err, &outcome) && sent {
 		return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: outcome.Reason}
 	}
-	if !connected {
+	if !sent {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
 	}
 	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.LostReason(ctx), Detail: err.Error()}
