Headers that an entry node admits don't close the connection to the exit node

Callers saw 502 (MayHaveRun, ConnectionLost) for a request with many short headers, and so did other requests on the same connection between the nodes while their backend server was at work on them.

Cause: the caller server and the peer server had the same limit of 256 KiB, but HTTP/1.1 counts the bytes on the wire and HTTP/2 counts 32 more for each header. On headers far above its limit net/http's server closes the connection (PROTOCOL_ERROR) with all its requests. That happens on connections on which the entry node has not yet read the limit; later its own client refuses the attempt, which was MayHaveRun too.

Evidence, before (go test ./standin/proof -run TestManyShortHeadersReachExitNode, three runs):

http2: server connection error from 10.0.0.2:0: connection error: PROTOCOL_ERROR got.outcome is not "Answered": {status:502 outcome:MayHaveRun reason:ConnectionLost took:} other.outcome is not "Answered": {status:502 outcome:MayHaveRun reason:ConnectionLost took:} (in two of the runs: {status:503 outcome:NotRun reason:ServerUnreachable took:8000000})

The limit of the peer server is now nine times that of the caller server: a header takes at least 4 bytes in HTTP/1.1 and then counts 33. What a node accepts from a caller, the nodes accept from one another. After: both are answered.

--- a/runner/servers.go
+++ b/runner/servers.go
@@ -29,7 +29,11 @@
 const (
 	// maxServerHeaderBytes bounds the headers in net/http. With ContractOwn, package parser refuses
 	// those above MaxHeaderBytes; with ContractPlatform this is the only limit.
-	maxServerHeaderBytes  = 4 * eelgrasspoint.MaxHeaderBytes
+	maxServerHeaderBytes = 4 * eelgrasspoint.MaxHeaderBytes
+	// maxPeerHeaderBytes admits all headers that the caller server admits: HTTP/2 counts 32 bytes more for each
+	// header, so at least 33 for one that has 4 bytes in HTTP/1.1. net/http closes a connection, with all its
+	// requests, on headers far above the limit.
+	maxPeerHeaderBytes    = 9 * maxServerHeaderBytes
 	connectionWindowBytes = 4 * eelgrasspoint.PeerWindowBytes
 	// maxCallerStreams bounds the concurrent HTTP/2 streams on one connection of a caller.
 	maxCallerStreams = 250
@@ -105,7 +109,7 @@
 		exchange.ServeHTTP(w, r)
 	})
 	return &http.Server{
-		Handler: handler, Protocols: protocols, MaxHeaderBytes: maxServerHeaderBytes,
+		Handler: handler, Protocols: protocols, MaxHeaderBytes: maxPeerHeaderBytes,
 		// Twice the idle timeout of the client, so that the client closes an idle connection first.
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: 2 * eelgrasspoint.PeerIdleTimeout,
 		HTTP2: &http.HTTP2Config{
--- a/standin/proof/peers_test.go
+++ b/standin/proof/peers_test.go
@@ -192,3 +192,20 @@
 	time.AfterFunc(time.Until(c.freeAt), func() { _, _ = c.Conn.Write(data) })
 	return len(p), nil
 }
+
+// TestManyShortHeadersReachExitNode: HTTP/2 counts 32 bytes more for each header than the entry node does.
+func TestManyShortHeadersReachExitNode(t *testing.T) {
+	header := make(http.Header)
+	for i := range 9000 {
+		header[fmt.Sprintf("%x", i)] = []string{""}
+	}
+	withPair(t, backend.Behavior{ServiceTime: 2 * time.Second}, func(t *testing.T, p *pair) {
+		var other callResult
+		var waiting sync.WaitGroup
+		waiting.Go(func() { other = p.sendBooking("other", nil) })
+		got := p.sendBooking("b", header)
+		waiting.Wait()
+		assert.Check(t, got.outcome == "Answered", "%+v", got)
+		assert.Check(t, other.outcome == "Answered", "%+v", other)
+	})
+}
