A backend server's status below 200 is a bad answer

Callers of a node whose backend server answered with a status below 100 saw their connection end without an answer; callers of another node saw 502. A status of 101 reached callers as 101, or as 200 through another node.

Cause: the relayer writes the status that the backend server sent. net/http panics on one below 100, so the handler ends without an answer, and net/http's HTTP/2 server writes 101 as an announcement and then 200 by itself. The contracts check successes and refusals only.

The exit node now ends such an attempt with MayHaveRun, BadAnswer (502), whatever the contract. net/http itself consumes the other statuses from 100 to 199.

--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +63,9 @@
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
 	metadata, err := r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
 	r.executor.recordLoad(metadata)
+	if err == nil && !metadata.NotRun {
+		err = checkStatus(response.StatusCode)
+	}
 	if err == nil && !metadata.NotRun {
 		return r.wrapResponse(ctx, response), nil
 	}
@@ -74,6 +78,16 @@
 	return nil, eelgrasspoint.Refuse(metadata.Reason, "")
 }
 
+// checkStatus rejects the statuses that can't end a request: net/http panics if it has to write one below 100,
+// and takes one below 200 for the announcement of another.
+func checkStatus(status int) error {
+	if status >= http.StatusOK {
+		return nil
+	}
+	detail := fmt.Sprintf("status %d does not end a request", status)
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.BadAnswer, Detail: detail}
+}
+
 // tryResult is the result of one try to send the request.
 type tryResult struct {
 	response *http.Response
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -164,6 +164,9 @@
 // URL returns the URL of a path at the node's port for callers.
 func (n *Node) URL(path string) string { return "http://" + n.address(callerPort).String() + path }
 
+// BackendAddress returns the address of the backend server beside the node.
+func (n *Node) BackendAddress() netip.AddrPort { return n.address(backendPort) }
+
 // ControlURL returns the base URL of the node's port for operators.
 func (n *Node) ControlURL() string { return "http://" + n.address(controlPort).String() }
 
