An answer 204 or 304 that states a length reaches callers of every node

Callers saw 502 (MayHaveRun, ConnectionLost) for an answer 304 or 204 with a Content-Length if it came through another node, and the answer itself if the backend server stood beside the node. RFC 9110 lets a 304 state the length that a 200 would have had.

Cause: the exit node relays that header over HTTP/2, whose client in net/http takes the length for that of a body that is missing, so reading the answer fails.

Evidence, before (go test ./standin/proof -run TestAnswerWithoutBodyKeepsStatus):

No_Content, Not_Modified MayHaveRun != Answered: {status:502 outcome:MayHaveRun reason:ConnectionLost took:8000000}

The relayer leaves the length out of answers that have no body. After: 204 and 304 through both nodes.

--- a/standin/proof/answers_test.go
+++ b/standin/proof/answers_test.go
@@ -68,3 +68,18 @@
 		}
 	}
 }
+
+// TestAnswerWithoutBodyKeepsStatus: such an answer may state the length of a body that it doesn't have.
+func TestAnswerWithoutBodyKeepsStatus(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusNotModified} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			withAnswer(t, fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 2", status), func(t *testing.T, p *pair) {
+				for _, node := range p.Nodes {
+					got := p.send(node, http.MethodPost, "/bookings", "b", nil)
+					assert.Equal(t, got.outcome, "Answered", "%+v", got)
+					assert.Equal(t, got.status, status)
+				}
+			})
+		})
+	}
+}
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -47,6 +47,10 @@
 	defer response.Body.Close()
 	copyHeader(w.Header(), response.Header)
 	announceTrailers(w.Header(), response.Trailer)
+	if hasNoBody(response.StatusCode) {
+		// HTTP/2 takes the stated length for that of a body that is missing.
+		w.Header().Del("Content-Length")
+	}
 	w.WriteHeader(response.StatusCode)
 	if !r.copyBody(w, response) {
 		panic(http.ErrAbortHandler)
@@ -56,6 +60,11 @@
 	}
 }
 
+// hasNoBody reports whether an answer with the status has no body, whatever its headers state.
+func hasNoBody(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // copyBody reports whether it copied the whole body. A body of unknown length may be a stream; each
 // part of it is flushed, so that it arrives without delay.
 func (r *Relayer) copyBody(w http.ResponseWriter, response *http.Response) bool {
