The detail of an attempt that a silent connection ended says so

Cause: since silent connections are closed by the dispatcher, the detail of ConnectionLost was "use of closed network connection" or "context canceled", from which an operator can't tell silence from a reset. It is now "the connection to the exit node was silent", which OPERATIONS explains. No outcome changes.

--- a/transport/dispatcher/connection.go
+++ b/transport/dispatcher/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	mu     sync.Mutex
 	timer  *time.Timer
 	closed bool
+	// abandoned is set if watch closed the connection.
+	abandoned bool
 	// pinged is set while the answer to a ping is awaited.
 	pinged bool
 	// heard ends when the connection becomes silent; it is replaced when bytes are read again.
@@ -33,6 +36,9 @@
 	giveUp context.CancelFunc
 }
 
+// errSilent is the error of the attempts that a silent connection ends.
+var errSilent = errors.New("the connection to the exit node was silent")
+
 const (
 	// probeInterval is the pause between two probes of the exit node of a silent connection.
 	probeInterval = 250 * time.Millisecond
@@ -67,9 +73,18 @@
 		c.unanswered.Store(0)
 		c.lastRead.Store(int64(time.Since(c.openedAt)))
 	}
+	if err != nil && c.isAbandoned() {
+		return n, errSilent
+	}
 	return n, err
 }
 
+func (c *connection) isAbandoned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	c.unanswered.Add(int64(len(p)))
@@ -85,6 +100,13 @@
 	return c.Conn.Close()
 }
 
+func (c *connection) abandon() {
+	c.mu.Lock()
+	c.abandoned = true
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
 // watch keeps new attempts off the connection if it is silent, and closes it if it is dead. Until then, the
 // attempts that can't be repeated stay: the link may only be slow.
 func (c *connection) watch() {
@@ -93,7 +115,7 @@
 	}
 	c.dispatcher.replace(c.peer)
 	if c.isDead() {
-		_ = c.Close()
+		c.abandon()
 		return
 	}
 	c.mu.Lock()
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -81,6 +81,9 @@
 	}
 	response, err := d.transport.RoundTrip(request)
 	if err != nil {
+		if sendCtx.Err() != nil && ctx.Err() == nil {
+			err = errSilent
+		}
 		v.end()
 		return nil, attemptError(ctx, v.connected, err)
 	}
