--- a/transport/dispatcher/delivery.go
+++ b/transport/dispatcher/delivery.go
@@ -53,17 +53,20 @@
 	if !watched || !v.repeatable {
 		return
 	}
+	v.endWatch()
+	v.unwatch = c.onSilence(v.cancel)
+}
+
+// endWatch keeps a silent connection from canceling the attempt.
+func (v *delivery) endWatch() {
 	if v.unwatch != nil {
 		v.unwatch()
 	}
-	v.unwatch = c.onSilence(v.cancel)
 }
 
 // end ends the attempt.
 func (v *delivery) end() {
-	if v.unwatch != nil {
-		v.unwatch()
-	}
+	v.endWatch()
 	v.cancel()
 }
 
