Tests of bodies without end open their listeners before their nodes start

Seen once, at a load of 37: TestMemoryOfBodiesWithoutEnd/chunks, 'not so within 10 s: the entry node knows the backend server'. The test closed a listener to learn a free port and ignored the error of a node that could not listen there; that another process had taken the port is likely, not shown. Now the listeners stay open and an error of Run fails the test.

--- a/runner/endless_test.go
+++ b/runner/endless_test.go
@@ -78,23 +78,24 @@
 
 func startNode(t *testing.T, name string, table eelgrasspoint.Table, peers []netip.AddrPort) *loader.Settings {
 	t.Helper()
+	listeners := make(openListeners)
 	settings := &loader.Settings{
 		Name: name, Cluster: "stage", Region: "almaty", AvailabilityZone: "almaty-a", PlatformRegion: "almaty", Peers: peers,
-		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), ControlAddress: freeAddress(t),
+		CallerAddress: listeners.open(t), PeerAddress: listeners.open(t), ControlAddress: listeners.open(t),
 		LogLevel: "debug", ColdOvershoot: 1, MaxBodyBytes: 64 << 20, StopTimeout: time.Second,
 	}
 	settings.AdvertisedAddress = settings.PeerAddress
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	node := runner.New(runner.Options{
-		Settings: settings, Dial: (&net.Dialer{}).DialContext, Listen: net.Listen, Log: log, Clock: time.Now, Seed: 1,
+		Settings: settings, Dial: (&net.Dialer{}).DialContext, Listen: listeners.listen, Log: log, Clock: time.Now, Seed: 1,
 		Limiter: limiter.NewFixed(maxRequests),
 		Table:   func(func(call, result string)) eelgrasspoint.Table { return table },
 	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = node.Run(context.Background())
+		assert.Check(t, node.Run(context.Background()) == nil)
 	}()
 	t.Cleanup(func() {
 		node.Abort()
@@ -103,14 +104,20 @@
 	return settings
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+// openListeners are listeners by address, opened before their node starts, so that no other process gets one of
+// their ports.
+type openListeners map[string]net.Listener
+
+func (o openListeners) open(t *testing.T) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer listener.Close()
+	o[listener.Addr().String()] = listener
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+func (o openListeners) listen(_, address string) (net.Listener, error) { return o[address], nil }
+
 func waitFor(t *testing.T, description string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
