Silence cuts no answer that has begun, whatever its length

Found in the review: the watch stayed on for answers of a length up to 64 KiB, which the entry node does not buffer either if MaxPrefetchTotalBytes is used up. TestSilenceCutsNoAnswerThatIsRelayed/length_12 before: 'error is not nil: context canceled'. The watch now ends with the headers of every answer.

--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -88,10 +88,8 @@
 		v.end()
 		return nil, attemptError(ctx, v.connected, err)
 	}
-	if response.ContentLength < 0 || response.ContentLength > eelgrasspoint.MaxPrefetchBytes {
-		// The caller may get a part of the answer before its end, so the request can't be repeated any more.
-		v.endWatch()
-	}
+	// The caller may get a part of the answer before its end, so the request can't be repeated any more.
+	v.endWatch()
 	response.Body = &deliveredBody{ReadCloser: response.Body, delivery: v}
 	return parseResponse(response)
 }
--- a/transport/dispatcher/silence_test.go
+++ b/transport/dispatcher/silence_test.go
@@ -32,30 +32,37 @@
 // TestSilenceCutsNoAnswerThatIsRelayed guards against an answer that its caller gets only a part of, because the
 // connection between the nodes was silent for a while and the request could have been repeated.
 func TestSilenceCutsNoAnswerThatIsRelayed(t *testing.T) {
-	candidate, _ := serveAttempts(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(eelgrasspoint.HeaderOutcome, eelgrasspoint.Answered.String())
-		_, _ = io.WriteString(w, "begun, ")
-		_ = http.NewResponseController(w).Flush()
-		select {
-		case <-time.After(100 * time.Millisecond):
-			_, _ = io.WriteString(w, "ended")
-		case <-r.Context().Done():
-		}
-	})
-	var paused atomic.Bool
-	d := dispatcher.New(func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return &pausedConn{Conn: conn, paused: &paused}, err
-	}, "region", time.Now)
-	defer d.Close()
-	meta := eelgrasspoint.RequestMetadata{Route: "r", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
-	answer, err := d.RoundTrip(t.Context(), candidate, &eelgrasspoint.Attempt{Meta: meta, Method: http.MethodGet, Target: "/", Header: http.Header{}})
-	assert.NilError(t, err)
-	defer answer.Response.Body.Close()
-	paused.Store(true)
-	time.Sleep(eelgrasspoint.PeerPingAfter + eelgrasspoint.PeerPingTimeout + 500*time.Millisecond)
-	paused.Store(false)
-	body, err := io.ReadAll(answer.Response.Body)
-	assert.NilError(t, err)
-	assert.Equal(t, string(body), "begun, ended")
+	for _, length := range []string{"", "12"} {
+		t.Run("length "+length, func(t *testing.T) {
+			candidate, _ := serveAttempts(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(eelgrasspoint.HeaderOutcome, eelgrasspoint.Answered.String())
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				_, _ = io.WriteString(w, "begun, ")
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-time.After(100 * time.Millisecond):
+					_, _ = io.WriteString(w, "ended")
+				case <-r.Context().Done():
+				}
+			})
+			var paused atomic.Bool
+			d := dispatcher.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &pausedConn{Conn: conn, paused: &paused}, err
+			}, "region", time.Now)
+			defer d.Close()
+			meta := eelgrasspoint.RequestMetadata{Route: "r", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
+			answer, err := d.RoundTrip(t.Context(), candidate, &eelgrasspoint.Attempt{Meta: meta, Method: http.MethodGet, Target: "/", Header: http.Header{}})
+			assert.NilError(t, err)
+			defer answer.Response.Body.Close()
+			paused.Store(true)
+			time.Sleep(eelgrasspoint.PeerPingAfter + eelgrasspoint.PeerPingTimeout + 500*time.Millisecond)
+			paused.Store(false)
+			body, err := io.ReadAll(answer.Response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "begun, ended")
+		})
+	}
 }
