A member that is gone keeps no node from fetching from another

Found in the review of the shared fetch. A request whose candidate has the newer configuration waited for whatever fetch ran, up to its own limit of 0.8 s, and gave up: 'after 810ms revision 1, calls to B 0'. Change: fetches are shared by member; two members at most are asked at once, without those that have not answered for 0.8 s. A connection for the Exchange service may take 2 s; each call has its own bound. TestSilentMemberHoldsUpNoOther asks 10 ms after the silent member; before: 2.99 s, now 0 s. TestRequestsBehindALargeConfigurationShareItsFetch no longer proved anything: the heartbeat's fetch came first. Its requests now find a connection between the nodes; without sharing: 31 fetches.

--- a/constants.go
+++ b/constants.go
@@ -181,6 +181,9 @@
 // Connections to backend servers and between nodes.
 const (
 	ConnectTimeout = 300 * time.Millisecond
+	// ExchangeConnectTimeout bounds an attempt to connect for the Exchange service. Each call has a bound of its
+	// own; a connection to a node behind a full link can take longer than ConnectTimeout.
+	ExchangeConnectTimeout = 2 * time.Second
 	// BackendIdleTimeout is short because an idle connection may be dead without having been closed,
 	// and a new one costs about a millisecond.
 	BackendIdleTimeout = 250 * time.Millisecond
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,14 +17,15 @@
 	"eelgrasspoint/state/meter"
 )
 
-// Fetcher fetches configurations. Concurrent calls share one fetch, so that requests that arrive while the
-// node is behind do not slow down the configuration that they wait for. It is safe for concurrent use.
+// Fetcher fetches configurations. Concurrent calls share the fetch from a member, and few members are asked at
+// once, so that requests that arrive while the node is behind do not slow down the configuration that they
+// wait for. It is safe for concurrent use.
 type Fetcher struct {
 	options Options
 
 	mu sync.Mutex
-	// latest is the fetch that started last, or nil.
-	latest *fetch
+	// running holds the fetches that have not ended, oldest first.
+	running []*fetch
 }
 
 // Options are the dependencies of a fetcher.
@@ -70,36 +72,44 @@
 	}
 }
 
-// startOrJoin returns the latest fetch, or starts another if it has ended, or if it is from another member
-// and has taken HeartbeatTimeout: that member may be gone.
+// maxPromptFetches is the number of fetches from which another is not started, without those that have taken
+// HeartbeatTimeout: their members may be gone.
+const maxPromptFetches = 2
+
+// startOrJoin returns the running fetch from the member. If there is none, it starts one, or returns the one that
+// started last if there are maxPromptFetches.
 func (f *Fetcher) startOrJoin(m eelgrasspoint.Member, after uint64) (current *fetch, started bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
-	if f.latest != nil && !f.latest.ended() && !f.latest.overdue(m, now) {
-		return f.latest, false
+	prompt := 0
+	for _, r := range f.running {
+		if r.address == m.PeerAddress {
+			return r, false
+		}
+		if now.Sub(r.startedAt) < eelgrasspoint.HeartbeatTimeout {
+			prompt++
+		}
 	}
-	f.latest = &fetch{address: m.PeerAddress, startedAt: now, done: make(chan struct{})}
-	go f.run(f.latest, m, after)
-	return f.latest, true
-}
-
-func (f *fetch) ended() bool {
-	select {
-	case <-f.done:
-		return true
-	default:
-		return false
+	if prompt >= maxPromptFetches {
+		return f.running[len(f.running)-1], false
 	}
+	current = &fetch{address: m.PeerAddress, startedAt: now, done: make(chan struct{})}
+	f.running = append(f.running, current)
+	go f.run(current, m, after)
+	return current, true
 }
 
-// overdue reports whether a fetch from m should not wait for this one.
-func (f *fetch) overdue(m eelgrasspoint.Member, now time.Time) bool {
-	return f.address != m.PeerAddress && now.Sub(f.startedAt) >= eelgrasspoint.HeartbeatTimeout
+// end removes a fetch and lets those that wait for it go on.
+func (f *Fetcher) end(ended *fetch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running = slices.DeleteFunc(f.running, func(r *fetch) bool { return r == ended })
+	close(ended.done)
 }
 
 func (f *Fetcher) run(current *fetch, m eelgrasspoint.Member, after uint64) {
-	defer close(current.done)
+	defer f.end(current)
 	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.ConfigurationTimeout)
 	defer cancel()
 	f.options.Meter.CountExchange("Configuration")
--- a/coordination/fetcher/fetcher_test.go
+++ b/coordination/fetcher/fetcher_test.go
@@ -98,12 +98,12 @@
 func TestSilentMemberHoldsUpNoOther(t *testing.T) {
 	members := network{"10.0.0.1:1": {delay: time.Hour}, "10.0.0.2:1": {revision: 2}}
 	withFetcher(t, members, func(t *testing.T, f fixture) {
-		start := time.Now()
 		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
-		time.Sleep(eelgrasspoint.HeartbeatTimeout)
+		time.Sleep(10 * time.Millisecond)
+		start := time.Now()
 		f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), 1)
 		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
-		assert.Equal(t, time.Since(start), eelgrasspoint.HeartbeatTimeout)
+		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
 
@@ -126,3 +126,21 @@
 		assert.Equal(t, members["10.0.0.1:1"].calls.Load(), int32(1))
 	})
 }
+
+// TestFewMembersAreAskedAtOnce guards against as many copies of a large configuration on the node's link as there
+// are members that have it, and against members that are gone and keep the node from asking others.
+func TestFewMembersAreAskedAtOnce(t *testing.T) {
+	members := network{"10.0.0.1:1": {delay: time.Hour}, "10.0.0.2:1": {delay: time.Hour}, "10.0.0.3:1": {revision: 2}}
+	withFetcher(t, members, func(t *testing.T, f fixture) {
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), 1)
+		time.Sleep(10 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		f.fetcher.Fetch(ctx, at("10.0.0.3:1"), 1)
+		assert.Equal(t, members["10.0.0.3:1"].calls.Load(), int32(0))
+		time.Sleep(eelgrasspoint.HeartbeatTimeout)
+		f.fetcher.Fetch(t.Context(), at("10.0.0.3:1"), 1)
+		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+	})
+}
--- a/standin/proof/fetch_test.go
+++ b/standin/proof/fetch_test.go
@@ -27,10 +27,11 @@
 		slow := network.Conditions{SameZone: 100 * time.Microsecond, SameRegion: time.Millisecond, OtherRegion: 20 * time.Millisecond, LinkBytesPerSecond: 1_250_000}
 		s := simulator.New(simulator.Options{Shape: slow, StoreRegion: "astana"})
 		defer s.Close()
-		p := &pair{Simulator: s, client: s.HTTPClient()}
-		defer p.client.CloseIdleConnections()
+		p := &pair{Simulator: s}
 		p.entry = s.AddNode("almaty", "almaty-a", "vitrine", 4, backend.Behavior{})
 		p.exit = s.AddNode("astana", "astana-a", "bench", 100, backend.Behavior{})
+		p.client = s.HTTPClientIn(p.entry)
+		defer p.client.CloseIdleConnections()
 		time.Sleep(3 * time.Second)
 		document := simulator.ExampleDocument()
 		for i := range 2800 {
@@ -40,6 +41,8 @@
 		}
 		s.ApplyDocument(t.Context(), p.exit, document)
 		time.Sleep(10 * time.Second)
+		// With a connection between the nodes, the refusals arrive before the heartbeat that tells of the revision.
+		assert.Equal(t, p.sendBooking("first", nil).status, http.StatusOK)
 		before := configurationFetches(t, p)
 
 		moved := &schema.ApplyRequest{Put: &schema.Document{Routes: []*schema.Route{
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"time"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/propagator"
@@ -39,7 +40,7 @@
 	d := &Dispatcher{
 		dialAddress: dial, region: region, clock: clock, generations: make(map[netip.AddrPort]uint64),
 	}
-	d.transport = NewTransport(d.dial)
+	d.transport = newTransport(withTimeout(d.dial, eelgrasspoint.ConnectTimeout))
 	d.transport.IdleConnTimeout = eelgrasspoint.PeerIdleTimeout
 	d.transport.HTTP2.SendPingTimeout = eelgrasspoint.PeerPingAfter
 	// net/http closes a connection whose ping is not answered in time, even if it receives other frames.
@@ -47,13 +48,17 @@
 	return d
 }
 
-// NewTransport returns an HTTP/2 transport for connections between nodes. It sends no pings: heartbeats
+// NewTransport returns an HTTP/2 transport for the Exchange service of other nodes. It sends no pings: heartbeats
 // detect an unresponsive connection, and an idle connection is closed after ExchangeIdleTimeout.
 func NewTransport(dial dialer.Func) *http.Transport {
+	return newTransport(withTimeout(dial, eelgrasspoint.ExchangeConnectTimeout))
+}
+
+func newTransport(dial dialer.Func) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:            withConnectTimeout(dial),
+		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		IdleConnTimeout:        eelgrasspoint.ExchangeIdleTimeout,
@@ -151,10 +156,10 @@
 	return answer, &eelgrasspoint.OutcomeError{Outcome: outcome, Reason: reason}
 }
 
-// withConnectTimeout returns a dial function that fails after ConnectTimeout.
-func withConnectTimeout(dial dialer.Func) dialer.Func {
+// withTimeout returns a dial function that fails after the timeout.
+func withTimeout(dial dialer.Func, timeout time.Duration) dialer.Func {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.ConnectTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return dial(ctx, network, address)
 	}
