--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,7 @@
 // longer, answers to HEAD and answers beyond MaxPrefetchTotalBytes are not buffered.
 func (p *proxiedRequest) prefetch(answer *eelgrasspoint.Answer) error {
 	response := answer.Response
-	stream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+	stream := eelgrasspoint.IsEventStream(response.Header)
 	if stream || response.ContentLength > eelgrasspoint.MaxPrefetchBytes || p.request.Method == http.MethodHead {
 		return nil
 	}
@@ -39,10 +38,6 @@
 	return nil
 }
 
-// eventStream is the media type of answers that are not buffered, since each event must be relayed as soon
-// as it arrives.
-const eventStream = "text/event-stream"
-
 // prefetchedBody reads the buffered prefix of a body and then the rest of it. Close releases the bytes that
 // are reserved for the prefix.
 type prefetchedBody struct {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -150,6 +151,11 @@
 	p.setConnectionClose(header)
 	took := f.Clock().Sub(start)
 	err := f.relayer.Relay(w, answer.Response)
+	var cutShort *eelgrasspoint.AnswerCutShortError
+	if errors.As(err, &cutShort) && !cutShort.Begun {
+		f.respondError(w, p, start, p.lostAnswer(cutShort))
+		return
+	}
 	f.Meter.ObserveRequest(p.meta.Service, eelgrasspoint.Answered, f.Clock().Sub(start))
 	if err != nil {
 		p.recordCutShort(err, took, answer.Response.StatusCode)
@@ -159,6 +165,15 @@
 	p.recordEnd(eelgrasspoint.EventRequestAnswered, "", took, answer.Response.StatusCode)
 }
 
+// lostAnswer returns the error of a request whose answer was lost before a part of it was relayed.
+func (p *proxiedRequest) lostAnswer(err *eelgrasspoint.AnswerCutShortError) *eelgrasspoint.OutcomeError {
+	reason := eelgrasspoint.ConnectionLost
+	if !p.forwarder.Clock().Before(p.meta.Deadline) {
+		reason = eelgrasspoint.TimedOut
+	}
+	return &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error()}
+}
+
 func (f *Forwarder) respondError(w http.ResponseWriter, p *proxiedRequest, start time.Time, err *eelgrasspoint.OutcomeError) {
 	f.Meter.ObserveRequest(p.meta.Service, err.Outcome, f.Clock().Sub(start))
 	f.Meter.CountWithoutAnswer(p.meta.Service, err.Reason)
--- a/errors.go
+++ b/errors.go
@@ -78,6 +78,8 @@
 // AnswerCutShortError is returned for an answer of which only a part was relayed.
 type AnswerCutShortError struct {
 	Side AnswerSide
+	// Begun is set if the head of the answer was relayed.
+	Begun bool
 	// Bytes is the length of the part of the body that was relayed.
 	Bytes int64
 	Cause error
--- a/request.go
+++ b/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -66,6 +67,11 @@
 // with Expect: 100-continue, so that the body follows only after admission at the exit node.
 func ExpectsContinue(length int64) bool { return length < 0 || length > MaxBodyBytesWithoutContinue }
 
+// IsEventStream reports whether an answer is a stream of events, each of which is relayed as soon as it arrives.
+func IsEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
 // Attempt is a request as it is sent once to one backend server.
 type Attempt struct {
 	Meta   RequestMetadata
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 
@@ -62,10 +63,17 @@
 	header[eelgrasspoint.HeaderOutcome] = []string{eelgrasspoint.Answered.String()}
 	header[eelgrasspoint.HeaderServedBy] = []string{r.Name}
 	r.writeLoadHint(header, entryRegion)
-	if err := r.relayer.Relay(w, answer.Response); err != nil {
-		r.recordCutShort(meta, err)
-		panic(http.ErrAbortHandler)
+	err = r.relayer.Relay(w, answer.Response)
+	if err == nil {
+		return
+	}
+	r.recordCutShort(meta, err)
+	var cutShort *eelgrasspoint.AnswerCutShortError
+	if errors.As(err, &cutShort) && !cutShort.Begun {
+		r.writeError(w, entryRegion, meta.RequestID, eelgrasspoint.AsOutcome(err))
+		return
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // recordCutShort records an answer of which the entry node got only a part, unless data residency forbids it.
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -41,15 +41,22 @@
 }
 
 // Relay writes the whole response with its trailers. If the response ends early or can't be written, the error
-// is an *eelgrasspoint.AnswerCutShortError. The handler must then panic with http.ErrAbortHandler: net/http
-// aborts its own response, so that a truncated response is not taken for a complete one.
+// is an *eelgrasspoint.AnswerCutShortError. If its Begun is set, the handler must then panic with
+// http.ErrAbortHandler: net/http aborts its own response, so that a truncated response is not taken for a complete
+// one. Otherwise nothing was written, and the handler can answer instead.
 func (r *Relayer) Relay(w http.ResponseWriter, response *http.Response) error {
 	defer response.Body.Close()
+	buffer := r.buffers.Get().(*[]byte)
+	defer r.buffers.Put(buffer)
+	first, firstErr := readFirst(response, *buffer)
+	if firstErr != nil && firstErr != io.EOF && first == 0 {
+		return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.ServerSide, Cause: firstErr}
+	}
 	copyHeader(w.Header(), response.Header)
 	stripTrailers(response.Trailer)
 	announceTrailers(w.Header(), response.Trailer)
 	w.WriteHeader(response.StatusCode)
-	if err := r.copyBody(w, response); err != nil {
+	if err := copyBody(w, response, *buffer, first, firstErr); err != nil {
 		return err
 	}
 	stripTrailers(response.Trailer)
@@ -59,26 +66,34 @@
 	return nil
 }
 
-// copyBody copies the whole body, or returns an *eelgrasspoint.AnswerCutShortError. A body of unknown length
-// may be a stream; each part of it is flushed, so that it arrives without delay.
-func (r *Relayer) copyBody(w http.ResponseWriter, response *http.Response) error {
-	buffer := r.buffers.Get().(*[]byte)
-	defer r.buffers.Put(buffer)
+// readFirst reads the first part of a body, so that an answer without one is not begun. It reads nothing of an
+// event stream.
+func readFirst(response *http.Response, buffer []byte) (int, error) {
+	if eelgrasspoint.IsEventStream(response.Header) {
+		return 0, nil
+	}
+	return response.Body.Read(buffer)
+}
+
+// copyBody copies the body, of which n bytes are in the buffer already, or returns an
+// *eelgrasspoint.AnswerCutShortError; err is the result of reading them. A body of unknown length may be a stream;
+// each part of it is flushed, so that it arrives without delay.
+func copyBody(w http.ResponseWriter, response *http.Response, buffer []byte, n int, err error) error {
 	unknownLength := response.ContentLength < 0
 	responseController := http.NewResponseController(w)
 	var relayed int64
 	for {
-		n, err := response.Body.Read(*buffer)
-		if writeErr := writePart(w, responseController, (*buffer)[:n], unknownLength); writeErr != nil {
-			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.CallerSide, Bytes: relayed, Cause: writeErr}
+		if writeErr := writePart(w, responseController, buffer[:n], unknownLength); writeErr != nil {
+			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.CallerSide, Begun: true, Bytes: relayed, Cause: writeErr}
 		}
 		relayed += int64(n)
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.ServerSide, Bytes: relayed, Cause: err}
+			return &eelgrasspoint.AnswerCutShortError{Side: eelgrasspoint.ServerSide, Begun: true, Bytes: relayed, Cause: err}
 		}
+		n, err = response.Body.Read(buffer)
 	}
 }
 
--- a/transport/relayer/relayer_test.go
+++ b/transport/relayer/relayer_test.go
@@ -52,6 +52,20 @@
 			assert.Assert(t, errors.As(err, &cutShort), "%v", err)
 			assert.Equal(t, cutShort.Side, c.side)
 			assert.Equal(t, cutShort.Bytes, c.bytes)
+			assert.Assert(t, cutShort.Begun)
 		})
 	}
 }
+
+// TestAnswerWithoutBodyIsNotBegun guards against a caller whose connection is closed without an answer, because the
+// answer was lost after its head.
+func TestAnswerWithoutBodyIsNotBegun(t *testing.T) {
+	w := httptest.NewRecorder()
+	err := relayer.New().Relay(w, &http.Response{
+		StatusCode: http.StatusOK, ContentLength: 1 << 20, Header: http.Header{"X-Lost": {"1"}}, Body: brokenBody{strings.NewReader("")},
+	})
+	var cutShort *eelgrasspoint.AnswerCutShortError
+	assert.Assert(t, errors.As(err, &cutShort), "%v", err)
+	assert.Assert(t, !cutShort.Begun)
+	assert.Equal(t, len(w.Header()), 0)
+}
