A caller that stays silent within its body gets an answer at the deadline

Callers that sent a part of a request's body and then nothing more got no answer; their connection stayed open for as long as they kept it, and a stop cut it without an answer. Cause: nothing bounds a read of the caller's body. BufferAll has no deadline. With a body that isn't buffered, the attempt's context ends at the deadline, but the attempt at the node's own backend server doesn't return: net/http's client waits for its write loop, which waits for that read. The cancellation at the end of a stop doesn't end the read either. Change: a read of the body is interrupted, by a read deadline in the past, once the context of the buffering or of the attempt ends. A request that was still being buffered ends with DeadlinePassed (or Canceled at a stop), 503, since nothing was sent; an attempt that may have run ends with TimedOut, 504. The connection is closed, as after every body that is not fully read.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -29,7 +29,10 @@
 // attempt sends the request to one candidate without hedging.
 func (p *proxiedRequest) attempt(ctx context.Context, candidate *eelgrasspoint.Candidate, body io.ReadCloser) attemptResult {
 	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
+	// net/http waits for the read of a request's body also after the request's context has ended.
+	release := p.interruptAfter(ctx)
 	answer, err := p.roundTrip(ctx, candidate, p.newAttempt(candidate), body)
+	release()
 	result := attemptResult{candidate: candidate, answer: answer, err: err}
 	p.noteEnd(result)
 	return bindCancel(result, cancel)
--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,6 +14,39 @@
 	"eelgrasspoint"
 )
 
+// bufferBody buffers the body for replay. It waits for a silent caller until the request's deadline.
+func (p *proxiedRequest) bufferBody(ctx context.Context) *eelgrasspoint.OutcomeError {
+	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
+	defer cancel()
+	defer p.interruptAfter(ctx)()
+	err := p.body.BufferAll(p.request.ContentLength)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
+	default:
+		return eelgrasspoint.Refuse(eelgrasspoint.BodyCutShort, err.Error())
+	}
+}
+
+// interruptAfter interrupts a read of the caller's body once ctx ends, until the returned function is called.
+func (p *proxiedRequest) interruptAfter(ctx context.Context) (release func()) {
+	if p.body.Complete() {
+		return func() {}
+	}
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		p.interrupt()
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 // prefetch buffers the first MaxPrefetchBytes of an answer before any of it is relayed, so that the
 // request can still be sent elsewhere if reading the answer fails. Event streams, answers known to be
 // longer, answers to HEAD and answers beyond MaxPrefetchTotalBytes are not buffered.
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -66,9 +66,10 @@
 	// The answer may begin before the request's body has ended.
 	controller := http.NewResponseController(w)
 	_ = controller.EnableFullDuplex()
-	p, err := f.prepare(r, start)
 	// A read deadline in the past interrupts a read of the body that is still in progress.
-	defer p.body.Close(func() { _ = controller.SetReadDeadline(start) })
+	interrupt := func() { _ = controller.SetReadDeadline(start) }
+	p, err := f.prepare(r, start, interrupt)
+	defer p.body.Close(interrupt)
 	if err != nil {
 		f.respondError(w, p, start, err)
 		return
@@ -84,7 +85,7 @@
 // prepare reads the caller's options, matches the route and buffers the body if its length is known and at
 // most MaxReplayBytes, and if the process stays within MaxReplayTotalBytes. The request is returned even
 // with an error.
-func (f *Forwarder) prepare(r *http.Request, now time.Time) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
+func (f *Forwarder) prepare(r *http.Request, now time.Time, interrupt func()) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
 	callOptions, err := f.Contract.ReadCall(r)
 	p := &proxiedRequest{
 		forwarder: f,
@@ -94,6 +95,7 @@
 		timeout:   callOptions.Timeout,
 		meta:      eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
 		body:      replayer.New(r.Body, f.MaxBodyBytes),
+		interrupt: interrupt,
 	}
 	p.self = p.snapshot.Self
 	if err != nil {
@@ -105,8 +107,8 @@
 	if r.ContentLength > f.MaxBodyBytes {
 		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyTooLarge, "")
 	}
-	if err := p.body.BufferAll(r.ContentLength); err != nil {
-		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyCutShort, err.Error())
+	if err := p.bufferBody(r.Context()); err != nil {
+		return p, err
 	}
 	p.meta.Fingerprint = fingerprint(p)
 	return p, nil
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +27,10 @@
 	matchedRoute *eelgrasspoint.Route
 	meta         eelgrasspoint.RequestMetadata
 	body         *replayer.Replayer
-	header       http.Header
-	tried        []*eelgrasspoint.Candidate
+	// interrupt ends a read of the caller's body that is in progress.
+	interrupt func()
+	header    http.Header
+	tried     []*eelgrasspoint.Candidate
 	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
 	// are concurrent with a hedge.
 	lastEnded *eelgrasspoint.Candidate
@@ -160,11 +164,11 @@
 }
 
 // attemptError returns err as an OutcomeError. If reading the caller's body failed, its reason is
-// BodyCutShort or BodyTooLarge.
+// BodyCutShort or BodyTooLarge, unless the read was interrupted because the attempt's context had ended.
 func (p *proxiedRequest) attemptError(err error) *eelgrasspoint.OutcomeError {
 	outcome := eelgrasspoint.AsOutcome(err)
 	bodyErr := p.body.Err()
-	if bodyErr == nil {
+	if bodyErr == nil || errors.Is(bodyErr, os.ErrDeadlineExceeded) {
 		return outcome
 	}
 	reason := eelgrasspoint.BodyCutShort
--- a/runner/endless_test.go
+++ b/runner/endless_test.go
@@ -33,8 +33,9 @@
 // maxRequests is the number of requests that the exit node runs at once.
 const maxRequests = 64
 
-// nodes are an entry node without a backend server and an exit node with a babbler, on loopback.
+// nodes are an entry node without a backend server and an exit node with one, on loopback.
 type nodes struct {
+	// babbler is the backend server of startNodes.
 	babbler     *babbler.Babbler
 	entry, exit *loader.Settings
 }
@@ -44,12 +45,20 @@
 	b, err := babbler.New(script)
 	assert.NilError(t, err)
 	t.Cleanup(b.Close)
+	n := startNodesBeside(t, b.Address())
+	n.babbler = b
+	return n
+}
+
+// startNodesBeside starts an entry node, and an exit node with the backend server at the address.
+func startNodesBeside(t *testing.T, address netip.AddrPort) *nodes {
+	t.Helper()
 	table := storer.New()
-	n := &nodes{babbler: b}
+	n := &nodes{}
 	n.exit = startNode(t, "exit", table, nil)
 	n.entry = startNode(t, "entry", table, []netip.AddrPort{n.exit.PeerAddress})
 	go backend.Announce(t.Context(), &http.Client{}, n.exit.ControlAddress, backend.Announcement{
-		Service: "bench", Address: b.Address(), Incarnation: 1, Slots: maxRequests, Connections: 2 * maxRequests,
+		Service: "bench", Address: address, Incarnation: 1, Slots: maxRequests, Connections: 2 * maxRequests,
 	})
 	operators := schema.NewOperatorsProtobufClient("http://"+n.entry.ControlAddress.String(), &http.Client{})
 	waitFor(t, "the entry node knows the backend server", func() bool {
@@ -68,7 +77,10 @@
 		Regions:           []*schema.Region{{Name: "almaty"}},
 		AvailabilityZones: []*schema.AvailabilityZone{{Name: "almaty-a", Region: "almaty"}},
 		Services:          []*schema.Service{{Name: "bench"}},
-		Routes:            []*schema.Route{{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)}},
+		Routes: []*schema.Route{
+			{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)},
+			{Name: "rest", PathPrefix: "/", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)},
+		},
 	}})
 	assert.NilError(t, err)
 	assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
