A refused caller that doesn't send the rest of its body is not awaited

Callers that were answered before they had sent their whole body, and then sent nothing more, kept their connection for as long as they liked, and Shutdown waited for it. Cause: after the handler, net/http reads up to 256 KB of an unread body, without a deadline. Evidence: TestRefusedCallerIsNotAwaited before: 'i/o timeout' instead of EOF a second after the 400. Change: 200 ms are left for this reading, less than the last part of a stop. A caller that is still sending by then may get a reset, but it has had that long to read its answer. After: the connection ends within the second.

--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -113,12 +113,15 @@
 // setConnectionClose marks the caller's HTTP/1.1 connection to be closed if the node is stopping, or if the
 // request body is not fully read: net/http can't safely read the next request from the connection then.
 func (p *proxiedRequest) setConnectionClose(header http.Header) {
-	unread := p.request.ContentLength != 0 && !p.body.AtEOF()
-	if p.request.ProtoMajor == 1 && (unread || p.forwarder.Stopping()) {
+	if p.request.ProtoMajor == 1 && (p.bodyUnread() || p.forwarder.Stopping()) {
 		header["Connection"] = []string{"close"}
 	}
 }
 
+func (p *proxiedRequest) bodyUnread() bool {
+	return p.request.ContentLength != 0 && !p.body.AtEOF()
+}
+
 // resetOldCaller resets the connection of a caller that uses HTTP/1.0 and whose answer was cut short: such a
 // caller takes the end of the connection for the end of an answer without a length.
 func (p *proxiedRequest) resetOldCaller(w http.ResponseWriter) {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -60,6 +60,10 @@
 	return &Forwarder{Options: options, relayer: relayer.New()}
 }
 
+// unreadBodyTime is how long net/http may read the rest of a request's body after the answer, before it closes the
+// connection: a caller that is still sending must be able to read its answer.
+const unreadBodyTime = 200 * time.Millisecond
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := f.Clock()
@@ -69,7 +73,12 @@
 	// A read deadline in the past interrupts a read of the body that is still in progress.
 	interrupt := func() { _ = controller.SetReadDeadline(start) }
 	p, err := f.prepare(r, start, interrupt)
-	defer p.body.Close(interrupt)
+	defer func() {
+		p.body.Close(interrupt)
+		if p.bodyUnread() {
+			_ = controller.SetReadDeadline(f.Clock().Add(unreadBodyTime))
+		}
+	}()
 	if err != nil {
 		f.respondError(w, p, start, err)
 		return
--- a/runner/body_test.go
+++ b/runner/body_test.go
@@ -110,3 +110,23 @@
 		}
 	}
 }
+
+// TestRefusedCallerIsNotAwaited guards against a connection that stays open after a refusal because the rest of the
+// request's body never comes.
+func TestRefusedCallerIsNotAwaited(t *testing.T) {
+	n := startNodesBeside(t, startServer(t, readBody))
+	conn, err := net.Dial("tcp", n.entry.CallerAddress.String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /bookings HTTP/1.1\r\nHost: h\r\nEelgrass-Timeout: soon\r\nContent-Length: 4\r\n\r\nab")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(time.Second)))
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
