A path that begins with // reaches the backend server unchanged

Callers of a path such as //x/bookings?q=1 had it run as http://x/bookings?q=1 at the node's own backend server (400 from some backend servers, for //%2f), and got 502 by way of another node; so did the absolute form http://h//x at the other node. Cause: the target was sent as the opaque part of a URL, and URL.RequestURI writes the scheme before an opaque part that begins with //. net/http's HTTP/2 client rejects such a :path. Change: such a target is sent as path and query, in TargetURL, which both hops use. net/http escapes bytes there that no URL may contain ({, ", bytes above 127); since the target would change, such a request is refused with 400. The router matched such paths as they are; that is a test now.

--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -137,9 +136,9 @@
 	if _, present := header["User-Agent"]; !present {
 		header["User-Agent"] = nil
 	}
-	target := &url.URL{Scheme: "http", Host: r.backend.Address.String(), Opaque: r.attempt.Target}
 	request := &http.Request{
-		Method: r.attempt.Method, URL: target, Host: r.attempt.Host, Header: header,
+		Method: r.attempt.Method, URL: eelgrasspoint.TargetURL(r.backend.Address.String(), r.attempt.Target),
+		Host: r.attempt.Host, Header: header,
 		Body: r.newBody(), ContentLength: r.attempt.Length,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return p, err
 	}
+	if eelgrasspoint.TargetURL("", r.RequestURI).RequestURI() != r.RequestURI {
+		return p, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, "the path contains bytes that must be percent-encoded")
+	}
 	if err := p.matchRoute(); err != nil {
 		return p, err
 	}
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -30,6 +30,9 @@
 		{"", "/lots", "GET", "lots"},
 		{"", "/lots/7", "GET", "lots"},
 		{"", "/lotsize", "GET", "all"},
+		{"", "//lots/7", "GET", "all"},
+		{"", "//", "GET", "all"},
+		{"", "/lots//bids/1", "POST", "lots"},
 		{"", "/lots/bids/1", "POST", "bids"},
 		{"", "/lots/bids/1", "GET", "lots"},
 		{"desk.example", "/lots/bids", "POST", "hosted"},
@@ -43,6 +46,16 @@
 	assert.Assert(t, router.New(&eelgrasspoint.Document{}).Match("", "/", "GET") == nil)
 }
 
+// TestMatchOfEmptySegments guards against a route whose prefix begins with an empty segment and that matches no path.
+func TestMatchOfEmptySegments(t *testing.T) {
+	r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+		{Name: "lots", PathPrefix: "/lots/"}, {Name: "empty", PathPrefix: "//lots/"}, {Name: "all", PathPrefix: "/"},
+	}})
+	for path, route := range map[string]string{"//lots/7": "empty", "/lots/7": "lots", "//lotsize": "all", "///lots/7": "all", "/lots//7": "lots"} {
+		assert.Equal(t, r.Match("", path, "GET").Name, route, path)
+	}
+}
+
 func TestPermittedIsIntersectionOfHomeRegions(t *testing.T) {
 	r := router.New(document)
 	cases := []struct {
--- a/request.go
+++ b/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 )
 
@@ -77,6 +79,18 @@
 	Length int64
 }
 
+// TargetURL returns the URL with which net/http sends the request target unchanged to the host. If the path begins
+// with // and contains bytes that a URL must escape, RequestURI of the URL differs from the target.
+func TargetURL(host, target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: host, Opaque: target}
+	}
+	// As an opaque URL, it would be sent with the scheme before it.
+	path, query, hasQuery := strings.Cut(target, "?")
+	unescaped, _ := url.PathUnescape(path)
+	return &url.URL{Scheme: "http", Host: host, Path: unescaped, RawPath: path, RawQuery: query, ForceQuery: hasQuery}
+}
+
 // Answer is a backend server's answer with the load hint in its headers.
 type Answer struct {
 	Response *http.Response
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"net/url"
 	"sync"
 
 	"eelgrasspoint"
@@ -100,10 +99,9 @@
 	header := attempt.Header.Clone()
 	propagator.Write(header, &attempt.Meta, d.clock())
 	header[eelgrasspoint.HeaderEntryRegion] = []string{d.region}
-	target := &url.URL{Scheme: "http", Host: d.currentPeer(candidate.PeerAddress).host(), Opaque: attempt.Target}
 	request := &http.Request{
 		Method:        attempt.Method,
-		URL:           target,
+		URL:           eelgrasspoint.TargetURL(d.currentPeer(candidate.PeerAddress).host(), attempt.Target),
 		Host:          attempt.Host,
 		Header:        header,
 		Body:          http.NoBody,
