TestWriteError counts the requests without a data race

go test -race ./transport/sender: 'WARNING: DATA RACE', write at sender_test.go:41 in the handler, read at :52 in the test, case 'connection closed without response'. Cause: in the test. The end of the connection tells the client that the handler has panicked, but orders no memory accesses. Change: the counter is atomic; what is compared is the same. After: 20 runs with -race pass.

--- a/transport/sender/sender_test.go
+++ b/transport/sender/sender_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	cases := []struct {
 		name, result string
 		handler      http.HandlerFunc
-		sent         int
+		sent         int32
 		matches      func(error) bool
 	}{
 		{"no content", "ok", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, 1, func(err error) bool { return err == nil }},
@@ -36,9 +37,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			sent := 0
+			var sent atomic.Int32
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				sent++
+				sent.Add(1)
 				c.handler(w, r)
 			}))
 			defer server.Close()
@@ -49,7 +50,7 @@
 			err := s.Send(ctx, "Commit", http.MethodPost, server.URL, []byte("{}")).WriteError(func() error { return conflict })
 			assert.Assert(t, c.matches(err), "%v", err)
 			assert.Equal(t, result, c.result)
-			assert.Equal(t, sent, c.sent)
+			assert.Equal(t, sent.Load(), c.sent)
 		})
 	}
 }
