An attempt whose entry node falls silent ends at its deadline

The same cause as with a silent caller, one hop further: an exit node kept an attempt, and its slot at the backend server, past the deadline while the rest of the body didn't come, until the connection to the entry node was given up. Its executor goes on reading, as net/http's client was seen to do at the node beside the backend server. Change: the receiver interrupts the read when the attempt's context ends, like the forwarder; both use package interrupter.

--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -35,16 +35,7 @@
 	if p.body.Complete() {
 		return func() {}
 	}
-	done := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(done)
-		p.interrupt()
-	})
-	return func() {
-		if !stop() {
-			<-done
-		}
-	}
+	return p.interrupter.After(ctx)
 }
 
 // prefetch buffers the first MaxPrefetchBytes of an answer before any of it is relayed, so that the
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/state/meter"
+	"eelgrasspoint/transport/interrupter"
 	"eelgrasspoint/transport/relayer"
 	"eelgrasspoint/transport/replayer"
 )
@@ -70,11 +71,9 @@
 	// The answer may begin before the request's body has ended.
 	controller := http.NewResponseController(w)
 	_ = controller.EnableFullDuplex()
-	// A read deadline in the past interrupts a read of the body that is still in progress.
-	interrupt := func() { _ = controller.SetReadDeadline(start) }
-	p, err := f.prepare(r, start, interrupt)
+	p, err := f.prepare(r, start, interrupter.New(w))
 	defer func() {
-		p.body.Close(interrupt)
+		p.body.Close(p.interrupter.Interrupt)
 		if p.bodyUnread() {
 			_ = controller.SetReadDeadline(f.Clock().Add(unreadBodyTime))
 		}
@@ -94,17 +93,17 @@
 // prepare reads the caller's options, matches the route and buffers the body if its length is known and at
 // most MaxReplayBytes, and if the process stays within MaxReplayTotalBytes. The request is returned even
 // with an error.
-func (f *Forwarder) prepare(r *http.Request, now time.Time, interrupt func()) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
+func (f *Forwarder) prepare(r *http.Request, now time.Time, bodyInterrupter *interrupter.Interrupter) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
 	callOptions, err := f.Contract.ReadCall(r)
 	p := &proxiedRequest{
-		forwarder: f,
-		snapshot:  f.Holder.Load(),
-		request:   r,
-		start:     now,
-		timeout:   callOptions.Timeout,
-		meta:      eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
-		body:      replayer.New(r.Body, f.MaxBodyBytes),
-		interrupt: interrupt,
+		forwarder:   f,
+		snapshot:    f.Holder.Load(),
+		request:     r,
+		start:       now,
+		timeout:     callOptions.Timeout,
+		meta:        eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
+		body:        replayer.New(r.Body, f.MaxBodyBytes),
+		interrupter: bodyInterrupter,
 	}
 	p.self = p.snapshot.Self
 	if err != nil {
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -12,6 +12,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/propagator"
+	"eelgrasspoint/transport/interrupter"
 	"eelgrasspoint/transport/relayer"
 	"eelgrasspoint/transport/replayer"
 )
@@ -27,10 +28,9 @@
 	matchedRoute *eelgrasspoint.Route
 	meta         eelgrasspoint.RequestMetadata
 	body         *replayer.Replayer
-	// interrupt ends a read of the caller's body that is in progress.
-	interrupt func()
-	header    http.Header
-	tried     []*eelgrasspoint.Candidate
+	interrupter  *interrupter.Interrupter
+	header       http.Header
+	tried        []*eelgrasspoint.Candidate
 	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
 	// are concurrent with a hedge.
 	lastEnded *eelgrasspoint.Candidate
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -11,6 +11,7 @@
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
+	"eelgrasspoint/transport/interrupter"
 	"eelgrasspoint/transport/relayer"
 )
 
@@ -53,6 +54,8 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), meta.Deadline)
 	defer cancel()
+	// net/http waits for the read of a request's body also after the request's context has ended.
+	defer interrupter.New(w).After(ctx)()
 	answer, err := r.Executor.RoundTrip(ctx, nil, r.attempt(request, meta))
 	if err != nil {
 		r.writeError(w, entryRegion, meta.RequestID, eelgrasspoint.AsOutcome(err))
