--- a/coordination/forwarder/body.go
+++ b/coordination/forwarder/body.go
@@ -2,14 +2,41 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"eelgrasspoint"
 )
 
+// bufferBody buffers the body for replay. It waits for a silent caller until the request's deadline.
+func (p *proxiedRequest) bufferBody(ctx context.Context) *eelgrasspoint.OutcomeError {
+	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
+	defer cancel()
+	defer p.interruptAfter(ctx)()
+	err := p.body.BufferAll(p.request.ContentLength)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), err.Error())
+	default:
+		return eelgrasspoint.Refuse(eelgrasspoint.BodyCutShort, err.Error())
+	}
+}
+
+// interruptAfter interrupts a read of the caller's body once ctx ends, until the returned function is called.
+func (p *proxiedRequest) interruptAfter(ctx context.Context) (release func()) {
+	if p.body.Complete() {
+		return func() {}
+	}
+	return p.interrupter.After(ctx)
+}
+
 // prefetch buffers the first MaxPrefetchBytes of an answer before any of it is relayed, so that the
 // request can still be sent elsewhere if reading the answer fails. Event streams, answers known to be
 // longer, answers to HEAD and answers beyond MaxPrefetchTotalBytes are not buffered.
@@ -72,12 +99,15 @@
 // setConnectionClose marks the caller's HTTP/1.1 connection to be closed if the node is stopping, or if the
 // request body is not fully read: net/http can't safely read the next request from the connection then.
 func (p *proxiedRequest) setConnectionClose(header http.Header) {
-	unread := p.request.ContentLength != 0 && !p.body.AtEOF()
-	if p.request.ProtoMajor == 1 && (unread || p.forwarder.Stopping()) {
+	if p.request.ProtoMajor == 1 && (p.bodyUnread() || p.forwarder.Stopping()) {
 		header["Connection"] = []string{"close"}
 	}
 }
 
+func (p *proxiedRequest) bodyUnread() bool {
+	return p.request.ContentLength != 0 && !p.body.AtEOF()
+}
+
 // resetOldCaller resets the connection of a caller that uses HTTP/1.0 and whose answer was cut short: such a
 // caller takes the end of the connection for the end of an answer without a length.
 func (p *proxiedRequest) resetOldCaller(w http.ResponseWriter) {
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/state/meter"
+	"eelgrasspoint/transport/interrupter"
 	"eelgrasspoint/transport/relayer"
 	"eelgrasspoint/transport/replayer"
 )
@@ -61,15 +62,23 @@
 	return &Forwarder{Options: options, relayer: relayer.New()}
 }
 
+// unreadBodyTime is how long net/http may read the rest of a request's body after the answer, before it closes the
+// connection: a caller that is still sending must be able to read its answer.
+const unreadBodyTime = 200 * time.Millisecond
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := f.Clock()
 	// The answer may begin before the request's body has ended.
 	controller := http.NewResponseController(w)
 	_ = controller.EnableFullDuplex()
-	p, err := f.prepare(r, start)
-	// A read deadline in the past interrupts a read of the body that is still in progress.
-	defer p.body.Close(func() { _ = controller.SetReadDeadline(start) })
+	p, err := f.prepare(r, start, interrupter.New(w))
+	defer func() {
+		p.body.Close(p.interrupter.Interrupt)
+		if p.bodyUnread() {
+			_ = controller.SetReadDeadline(f.Clock().Add(unreadBodyTime))
+		}
+	}()
 	if err != nil {
 		f.respondError(w, p, start, err)
 		return
@@ -85,29 +94,33 @@
 // prepare reads the caller's options, matches the route and buffers the body if its length is known and at
 // most MaxReplayBytes, and if the process stays within MaxReplayTotalBytes. The request is returned even
 // with an error.
-func (f *Forwarder) prepare(r *http.Request, now time.Time) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
+func (f *Forwarder) prepare(r *http.Request, now time.Time, bodyInterrupter *interrupter.Interrupter) (*proxiedRequest, *eelgrasspoint.OutcomeError) {
 	callOptions, err := f.Contract.ReadCall(r)
 	p := &proxiedRequest{
-		forwarder: f,
-		snapshot:  f.Holder.Load(),
-		request:   r,
-		start:     now,
-		timeout:   callOptions.Timeout,
-		meta:      eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
-		body:      replayer.New(r.Body, f.MaxBodyBytes),
+		forwarder:   f,
+		snapshot:    f.Holder.Load(),
+		request:     r,
+		start:       now,
+		timeout:     callOptions.Timeout,
+		meta:        eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
+		body:        replayer.New(r.Body, f.MaxBodyBytes),
+		interrupter: bodyInterrupter,
 	}
 	p.self = p.snapshot.Self
 	if err != nil {
 		return p, err
 	}
+	if eelgrasspoint.TargetURL("", r.RequestURI).RequestURI() != r.RequestURI {
+		return p, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, "the path contains bytes that must be percent-encoded")
+	}
 	if err := p.matchRoute(); err != nil {
 		return p, err
 	}
 	if r.ContentLength > f.MaxBodyBytes {
 		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyTooLarge, "")
 	}
-	if err := p.body.BufferAll(r.ContentLength); err != nil {
-		return p, eelgrasspoint.Refuse(eelgrasspoint.BodyCutShort, err.Error())
+	if err := p.bufferBody(r.Context()); err != nil {
+		return p, err
 	}
 	p.meta.Fingerprint = fingerprint(p)
 	return p, nil
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/propagator"
+	"eelgrasspoint/transport/interrupter"
 	"eelgrasspoint/transport/relayer"
 	"eelgrasspoint/transport/replayer"
 )
@@ -25,6 +28,7 @@
 	matchedRoute *eelgrasspoint.Route
 	meta         eelgrasspoint.RequestMetadata
 	body         *replayer.Replayer
+	interrupter  *interrupter.Interrupter
 	header       http.Header
 	tried        []*eelgrasspoint.Candidate
 	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
@@ -160,11 +164,11 @@
 }
 
 // attemptError returns err as an OutcomeError. If reading the caller's body failed, its reason is
-// BodyCutShort or BodyTooLarge.
+// BodyCutShort or BodyTooLarge, unless the read was interrupted because the attempt's context had ended.
 func (p *proxiedRequest) attemptError(err error) *eelgrasspoint.OutcomeError {
 	outcome := eelgrasspoint.AsOutcome(err)
 	bodyErr := p.body.Err()
-	if bodyErr == nil {
+	if bodyErr == nil || errors.Is(bodyErr, os.ErrDeadlineExceeded) {
 		return outcome
 	}
 	reason := eelgrasspoint.BodyCutShort
