Only an attempt that another can follow is given up at a silent connection

Callers of idempotent routes could get 502 while a sound exit node was at work behind a slow link: after 1.7 s of silence every idempotent attempt was given up, also if the route allows no further attempt, there is no other candidate, or the retry budget is used up; after SIGTERM the users count that as lost. What remains: several attempts may count on the same token of the budget.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -60,10 +60,22 @@
 	meta.Attempt = p.attempts
 	meta.Insists = p.queueRequested || p.cheaperToQueue(candidate) || !p.forwarder.Retrier.CanWithdraw(p.meta.Service, retrier.Redirect)
 	p.attempts++
+	meta.Repeatable = p.repeatable()
 	p.forwarder.Meter.CountAttempt(meta.Service, meta.Attempt)
 	return meta
 }
 
+// repeatable reports whether another attempt could follow one that may have run: the route, the body, the
+// candidates and the budget allow it at the moment.
+func (p *proxiedRequest) repeatable() bool {
+	failure := p.failure(&eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun})
+	failure.Attempts++
+	return p.attempts < eelgrasspoint.MaxTotalAttempts &&
+		len(p.snapshot.Candidates[p.meta.Service]) > len(p.tried) &&
+		retrier.MayRetry(failure, p.forwarder.Clock()) &&
+		p.forwarder.Retrier.CanWithdraw(p.meta.Service, retrier.Retry)
+}
+
 // roundTrip makes one attempt and updates the candidate's statistics. It is safe for concurrent use
 // by the attempts of one request.
 func (p *proxiedRequest) roundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, meta eelgrasspoint.RequestMetadata, body io.ReadCloser) (*eelgrasspoint.Answer, error) {
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -182,11 +182,7 @@
 // If so, it takes a token, if one is left, from the budget of the next attempt's purpose and records the
 // event.
 func (p *proxiedRequest) tryRetry(candidate *eelgrasspoint.Candidate, lastErr *eelgrasspoint.OutcomeError) bool {
-	failure := retrier.Failure{
-		Err: lastErr, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
-		Attempts: int(p.deliveredAttempts.Load()), MaxAttempts: int(p.matchedRoute.MaxAttempts), Deadline: p.meta.Deadline,
-	}
-	if !retrier.MayRetry(failure, p.forwarder.Clock()) || p.attempts >= eelgrasspoint.MaxTotalAttempts {
+	if !retrier.MayRetry(p.failure(lastErr), p.forwarder.Clock()) || p.attempts >= eelgrasspoint.MaxTotalAttempts {
 		return false
 	}
 	// The route of a newer revision may not be idempotent, as that of the earlier attempts was.
@@ -205,6 +201,14 @@
 	return true
 }
 
+// failure describes the request after an attempt that ended with err.
+func (p *proxiedRequest) failure(err *eelgrasspoint.OutcomeError) retrier.Failure {
+	return retrier.Failure{
+		Err: err, Idempotent: p.meta.Idempotent, Replayable: p.body.Replayable(),
+		Attempts: int(p.deliveredAttempts.Load()), MaxAttempts: int(p.matchedRoute.MaxAttempts), Deadline: p.meta.Deadline,
+	}
+}
+
 // retryServerError reports whether an answer with a 5xx status is replaced by another attempt, and closes
 // the answer if so. It is replaced if the request is idempotent, no attempt but the answered one may have
 // reached a backend server, there is another candidate, and tryRetry returns true.
--- a/request.go
+++ b/request.go
@@ -28,6 +28,9 @@
 	// Insists makes the exit node queue the request rather than refuse it while its backend server is
 	// slow or full.
 	Insists bool
+	// Repeatable is set on an attempt that another one can follow, even if it may have run. It is known at the
+	// entry node only.
+	Repeatable bool
 	// Caller is the service of the backend server beside the entry node. That server is taken to be the
 	// caller.
 	Caller string
--- a/transport/dispatcher/silence_test.go
+++ b/transport/dispatcher/silence_test.go
@@ -53,7 +53,7 @@
 				return &pausedConn{Conn: conn, paused: &paused}, err
 			}, "region", time.Now)
 			defer d.Close()
-			meta := eelgrasspoint.RequestMetadata{Route: "r", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
+			meta := eelgrasspoint.RequestMetadata{Route: "r", Repeatable: true, Deadline: time.Now().Add(time.Minute)}
 			answer, err := d.RoundTrip(t.Context(), candidate, &eelgrasspoint.Attempt{Meta: meta, Method: http.MethodGet, Target: "/", Header: http.Header{}})
 			assert.NilError(t, err)
 			defer answer.Response.Body.Close()
