A panic releases the slot of its run

Found in the review: since a panic is answered, a run that panics between its admission and its answer kept its slot at the backend server for good, unseen. TestPanicReleasesSlot before: 3 (InUse) != 0 after three panics. The run is finished when roundTrip doesn't return. The end of an answer's body also stops the watch of its context, which left one goroutine more for each answered attempt.

--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -181,7 +181,15 @@
 		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admittedAt, Ignored: true})
 		return nil, err
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not keep the slot.
+			e.finish(r, eelgrasspoint.Sample{Ignored: true})
+		}
+	}()
 	response, err := r.roundTrip(ctx)
+	returned = true
 	if err != nil {
 		return nil, err
 	}
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -237,9 +237,11 @@
 		response.Header.Del("Content-Length")
 		response.ContentLength = 0
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, run: r, ctx: ctx, status: response.StatusCode}
-	// net/http closes the connection when ctx ends, but nobody reads the body while a write to the caller waits.
-	context.AfterFunc(ctx, func() { r.executor.finish(r, eelgrasspoint.Sample{Ignored: true}) })
+	response.Body = &responseBody{
+		ReadCloser: response.Body, run: r, ctx: ctx, status: response.StatusCode,
+		// net/http closes the connection when ctx ends, but nobody reads the body while a write to the caller waits.
+		stopWatch: context.AfterFunc(ctx, func() { r.executor.finish(r, eelgrasspoint.Sample{Ignored: true}) }),
+	}
 	return response
 }
 
@@ -249,6 +251,8 @@
 	run    *run
 	ctx    context.Context //nolint:containedctx // The body lives as long as the request.
 	status int
+	// stopWatch keeps the end of ctx from finishing the run.
+	stopWatch func() bool
 }
 
 // Read implements io.Reader.
@@ -280,6 +284,7 @@
 // that the rest of the answer can't reach another request.
 func (b *responseBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.stopWatch()
 	b.run.executor.finish(b.run, eelgrasspoint.Sample{Ignored: true})
 	return err
 }
