--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -30,8 +30,8 @@
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
 	Now func() time.Time
-	// Pull fetches the configuration from a member if its revision is higher than afterRevision.
-	Pull func(m eelgrasspoint.Member, afterRevision uint64)
+	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting.
+	StartFetch func(m eelgrasspoint.Member, after uint64)
 	// Events returns the recorded events that match the request.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	// Crashed handles a crash report of another exit node. The crash is named by that node and the
@@ -89,7 +89,7 @@
 	updates, _ := translator.Members(request.GetNews())
 	for _, m := range append(updates, view.Members...) {
 		if m.Name == request.GetFrom() {
-			e.options.Pull(m, view.Revision)
+			e.options.StartFetch(m, view.Revision)
 			return
 		}
 	}
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -41,8 +41,8 @@
 	go c.Run(ctx)
 	e := exchanger.New(exchanger.Options{
 		Cluster: "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
-		Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
-		Pull: func(eelgrasspoint.Member, uint64) {},
+		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
+		StartFetch: func(eelgrasspoint.Member, uint64) {},
 	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request schema.ConverseRequest
--- a/coordination/forwarder/entry_test.go
+++ b/coordination/forwarder/entry_test.go
@@ -119,7 +119,7 @@
 			ControlBytes: func() (int64, int64) { return 0, 0 },
 		}),
 		Recorder: e, Clock: time.Now, Random: eelgrasspoint.NewRandom(1), MaxBodyBytes: 1 << 20,
-		Stopping: func() bool { return false }, CatchUp: e.catchUp, Contract: parser.New(), Service: "bench",
+		Stopping: func() bool { return false }, Fetch: e.fetchFrom, Contract: parser.New(), Service: "bench",
 	})
 	return e
 }
@@ -177,7 +177,7 @@
 	e.events = append(e.events, event)
 }
 
-func (e *entry) catchUp(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64) {
+func (e *entry) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64) {
 	e.fetchedFrom = append(e.fetchedFrom, from.Node)
 	e.fetch(ctx, from, revision)
 }
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -49,9 +49,9 @@
 	MaxBodyBytes int64
 	// Stopping reports whether the node is stopping, so that callers' connections are closed.
 	Stopping func() bool
-	// CatchUp fetches the configuration from the candidate's node if the revision there is higher than the
+	// Fetch fetches the configuration from the candidate's node if the revision there is higher than the
 	// given one.
-	CatchUp  func(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64)
+	Fetch    func(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64)
 	Contract eelgrasspoint.Contract
 	// Service is the service of the backend server beside the node.
 	Service string
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -150,7 +150,7 @@
 	timeLeft := eelgrasspoint.Remaining(p.meta.Deadline, p.forwarder.Clock())
 	ctx, cancel := context.WithTimeout(ctx, timeLeft/fetchTimeDivisor)
 	defer cancel()
-	p.forwarder.CatchUp(ctx, from, p.meta.Revision)
+	p.forwarder.Fetch(ctx, from, p.meta.Revision)
 }
 
 // outgoingHeader returns the request headers that every attempt sends.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -189,7 +189,7 @@
 			Holder: r.holder, Chooser: r.chooser(), Retrier: r.retrier, Link: r.linkBudget, Peers: r.peers,
 			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
 			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
-			Contract: r.options.Contract, Service: r.settings.Service, CatchUp: r.catchUpFrom, Stopping: r.stopping.Load,
+			Contract: r.options.Contract, Service: r.settings.Service, Fetch: r.fetchFrom, Stopping: r.stopping.Load,
 		})),
 		attempts: r.recovering(peerServer, peerRequestID, receiver.New(receiver.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
@@ -198,7 +198,7 @@
 		})),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, Pull: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
+			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
 		})),
 		operators: schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
@@ -212,7 +212,7 @@
 	}, r.recorder)
 }
 
-// recovering wraps the handler of a server, so that its panics are recorded.
+// recovering wraps the handler of a server, so that its panics are recorded and the requests answered.
 func (r *Runner) recovering(server string, requestID func(*http.Request) string, handler http.Handler) http.Handler {
 	return recoverer.New(recoverer.Options{
 		Server: server, Recorder: r.recorder, Count: r.meter.CountPanic, RequestID: requestID, Respond: r.respondInternalError,
@@ -290,9 +290,9 @@
 	return retrier.SharedBudgetLimits(budget.Share, budget.Slack, r.nodeCount)
 }
 
-// catchUpFrom fetches the configuration from a candidate's node if its revision is higher than after, and
+// fetchFrom fetches the configuration from a candidate's node if its revision is higher than after, and
 // waits for HeartbeatTimeout at most until it is in force.
-func (r *Runner) catchUpFrom(ctx context.Context, from *eelgrasspoint.Candidate, after uint64) {
+func (r *Runner) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 	defer cancel()
 	r.fetcher.Fetch(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
