--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -283,9 +283,12 @@
 	lastPort  = 30000
 )
 
-// lastTriedPort is the port that freeAddress tried last. Its initial value depends on the process ID, 37
-// ports apart for consecutive IDs, so that processes that run at once seldom try the same ports.
-var lastTriedPort = firstPort + os.Getpid()*37%(lastPort-firstPort)
+// portsPerProcess is the distance between the first ports of processes with consecutive IDs. A node that is down
+// must find its ports free when it starts again, so processes that run at once should not try the same ones.
+const portsPerProcess = 1511
+
+// lastTriedPort is the port that freeAddress tried last.
+var lastTriedPort = firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort)
 
 // freeAddress returns a loopback address whose port is free at the time of the call.
 func freeAddress() (netip.AddrPort, error) {
