--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -58,34 +57,6 @@
 	return nil, r.fail(ctx, result)
 }
 
-// checkResponse returns the response if it answers the request. If the backend server refused the request,
-// or the response can't be that of the request, it finishes the run and returns an error.
-func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
-	metadata, err := r.readAnswer(response)
-	r.executor.recordLoad(metadata)
-	if err == nil && !metadata.NotRun {
-		return r.wrapResponse(ctx, response), nil
-	}
-	// net/http does not use the connection again after an unread body.
-	response.Body.Close()
-	r.executor.finish(r, eelgrasspoint.Sample{Shed: metadata.Reason == eelgrasspoint.RejectedByServer, Ignored: err != nil})
-	if err != nil {
-		return nil, err
-	}
-	return nil, eelgrasspoint.Refuse(metadata.Reason, "")
-}
-
-// readAnswer reads the headers of the response. A status below 200 is no final answer: net/http returns 101
-// and those below 100, but its servers can't send them.
-func (r *run) readAnswer(response *http.Response) (eelgrasspoint.AnswerMetadata, error) {
-	if response.StatusCode < http.StatusOK {
-		return eelgrasspoint.AnswerMetadata{}, &eelgrasspoint.OutcomeError{
-			Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.BadAnswer, Detail: "status " + response.Status + " is not that of a final response",
-		}
-	}
-	return r.executor.options.Contract.ReadAnswer(response, &r.attempt.Meta)
-}
-
 // tryResult is the result of one try to send the request.
 type tryResult struct {
 	response *http.Response
@@ -145,34 +116,6 @@
 	return request.WithContext(ctx)
 }
 
-// newBody returns a request body that keeps net/http from repeating the request: net/http repeats GET,
-// HEAD, OPTIONS and TRACE without a body, so they get an empty body that net/http can't rewind.
-func (r *run) newBody() io.ReadCloser {
-	if r.attempt.Length != 0 && r.attempt.Body != nil {
-		return &trackedBody{source: r.attempt.Body, read: &r.bodyRead}
-	}
-	switch r.attempt.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return emptyBody{}
-	default:
-		return http.NoBody
-	}
-}
-
-// lowercaseIdempotencyKeys spells the idempotency headers in lower case: net/http repeats requests that
-// have them in canonical spelling.
-func lowercaseIdempotencyKeys(header http.Header) {
-	for canonical, lower := range map[string]string{
-		"Idempotency-Key":   "idempotency-key",
-		"X-Idempotency-Key": "x-idempotency-key",
-	} {
-		if values, ok := header[canonical]; ok {
-			delete(header, canonical)
-			header[lower] = values
-		}
-	}
-}
-
 // fail finishes a run that got no response, and returns its outcome as an error.
 func (r *run) fail(ctx context.Context, result tryResult) error {
 	refused := errors.Is(result.err, syscall.ECONNREFUSED)
@@ -225,105 +168,3 @@
 	}
 	return now.Sub(r.startedAt)
 }
-
-// wrapResponse removes the hop-by-hop headers and those of the load balancer itself, and wraps the body in
-// a responseBody. It also removes the length of a body that the status excludes: net/http's HTTP/2 client
-// rejects a response that ends before its Content-Length, other than to HEAD.
-func (r *run) wrapResponse(ctx context.Context, response *http.Response) *http.Response {
-	r.answeredAt.Store(r.executor.options.Clock().UnixNano())
-	relayer.StripHopByHop(response.Header)
-	propagator.Strip(response.Header)
-	if response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified {
-		response.Header.Del("Content-Length")
-		response.ContentLength = 0
-	}
-	response.Body = &responseBody{
-		ReadCloser: response.Body, run: r, ctx: ctx, status: response.StatusCode,
-		// net/http closes the connection when ctx ends, but nobody reads the body while a write to the caller waits.
-		stopWatch: context.AfterFunc(ctx, func() { r.executor.finish(r, eelgrasspoint.Sample{Ignored: true}) }),
-	}
-	return response
-}
-
-// responseBody finishes its run when the body ends, fails or is closed, or ctx ends.
-type responseBody struct {
-	io.ReadCloser
-	run    *run
-	ctx    context.Context //nolint:containedctx // The body lives as long as the request.
-	status int
-	// stopWatch keeps the end of ctx from finishing the run.
-	stopWatch func() bool
-}
-
-// Read implements io.Reader.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.run.executor.finish(b.run, b.sample())
-	case err != nil:
-		b.noteFailure(err)
-		b.run.executor.finish(b.run, eelgrasspoint.Sample{Ignored: b.ctx.Err() != nil})
-	}
-	return n, err
-}
-
-// noteFailure handles an error in reading the body.
-func (b *responseBody) noteFailure(err error) {
-	switch reason := b.run.endReason(b.ctx, err); reason {
-	case eelgrasspoint.ConnectionLost:
-		b.run.executor.connectionLost(b.run)
-	case eelgrasspoint.MalformedAnswer:
-		b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
-			Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error(),
-		})
-	}
-}
-
-// Close implements io.Closer. If the body was not read to its end, net/http closes the connection, so
-// that the rest of the answer can't reach another request.
-func (b *responseBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.stopWatch()
-	b.run.executor.finish(b.run, eelgrasspoint.Sample{Ignored: true})
-	return err
-}
-
-func (b *responseBody) sample() eelgrasspoint.Sample {
-	shed := b.status == http.StatusServiceUnavailable || b.status == http.StatusTooManyRequests
-	return eelgrasspoint.Sample{Succeeded: b.status < http.StatusInternalServerError && !shed, Shed: shed}
-}
-
-// trackedBody records whether the request body was read, and wraps its errors in requestBodyError.
-type trackedBody struct {
-	source io.ReadCloser
-	read   *atomic.Bool
-}
-
-// requestBodyError is an error in reading a request body from the caller.
-type requestBodyError struct{ cause error }
-
-func (e *requestBodyError) Error() string { return "reading the request body: " + e.cause.Error() }
-func (e *requestBodyError) Unwrap() error { return e.cause }
-
-func isRequestBodyError(err error) bool {
-	var bodyErr *requestBodyError
-	return errors.As(err, &bodyErr)
-}
-
-func (b *trackedBody) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	n, err := b.source.Read(p)
-	if err != nil && err != io.EOF {
-		err = &requestBodyError{cause: err}
-	}
-	return n, err
-}
-
-func (b *trackedBody) Close() error { return b.source.Close() }
-
-// emptyBody is an empty body that differs from http.NoBody, which net/http treats as no body.
-type emptyBody struct{}
-
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
 	"eelgrasspoint"
@@ -19,31 +18,23 @@
 	"eelgrasspoint/coordination/chooser"
 	"eelgrasspoint/coordination/committer"
 	"eelgrasspoint/coordination/controller"
-	"eelgrasspoint/coordination/exchanger"
 	"eelgrasspoint/coordination/executor"
 	"eelgrasspoint/coordination/fetcher"
-	"eelgrasspoint/coordination/forwarder"
-	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/coordination/observer"
 	"eelgrasspoint/coordination/operator"
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/parser"
-	"eelgrasspoint/protocol/registrar"
-	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/budgeter"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/meter"
-	"eelgrasspoint/state/publisher"
 	"eelgrasspoint/state/recorder"
 	"eelgrasspoint/state/transcriber"
 	"eelgrasspoint/transport/dialer"
 	"eelgrasspoint/transport/dispatcher"
-	"eelgrasspoint/transport/receiver"
-	"eelgrasspoint/transport/recoverer"
 )
 
 // Runner runs one node.
@@ -135,105 +126,6 @@
 	return r
 }
 
-func (r *Runner) buildDataPlane() {
-	clock := r.options.Clock
-	limit := r.options.Limiter
-	if limit == nil {
-		limit = limiter.New(eelgrasspoint.DefaultSlots)
-	}
-	r.admitter = admitter.New(limit, clock)
-	if r.options.TellsLoad {
-		r.admitter = admitter.NewWithReportedLoad(limit, clock)
-	}
-	r.quarantiner = quarantiner.New(clock)
-	r.retrier = retrier.New(r.retryLimits())
-	r.controlClient = &http.Client{Transport: dispatcher.NewTransport(r.controlDialer.DialContext)}
-	r.executor = executor.New(executor.Options{
-		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantiner, Recorder: r.recorder,
-		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
-		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.CountHealthCheck,
-	})
-	r.peers = dispatcher.New(r.options.Dial, r.settings.Region, clock)
-}
-
-func (r *Runner) buildControlPlane() {
-	clock := r.options.Clock
-	r.controller = controller.New(controller.Options{
-		Self: eelgrasspoint.Member{
-			Name: r.settings.Name, Region: r.settings.Region, AvailabilityZone: r.settings.AvailabilityZone,
-			PeerAddress: r.settings.AdvertisedAddress, Incarnation: uint64(clock().UnixNano()),
-		},
-		Holder: r.holder, Recorder: r.recorder, Clock: clock,
-		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
-		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.InvalidateReports,
-	})
-	r.fetcher = fetcher.New(fetcher.Options{
-		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
-	})
-	r.observer = observer.New(observer.Options{
-		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
-		Witness: r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
-	})
-	r.table = r.options.Table(r.meter.CountStoreCall)
-	rowPublisher := publisher.New(r.table)
-	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered}
-	if r.options.Source != nil {
-		r.source = r.options.Source(r.meter.CountStoreCall)
-	}
-	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rowPublisher, Recorder: r.recorder})
-}
-
-func (r *Runner) buildServers() servers {
-	return newServers(handlers{
-		callers: r.recovering(callerServer, r.callerRequestID, forwarder.New(forwarder.Options{
-			Holder: r.holder, Chooser: r.chooser(), Retrier: r.retrier, Link: r.linkBudget, Peers: r.peers,
-			Local: r.executor, Meter: r.meter, Recorder: r.recorder, Clock: r.options.Clock,
-			Random: r.random(), MaxBodyBytes: r.settings.MaxBodyBytes,
-			Contract: r.options.Contract, Service: r.settings.Service, Fetch: r.fetchFrom, Stopping: r.stopping.Load,
-		})),
-		attempts: r.recovering(peerServer, peerRequestID, receiver.New(receiver.Options{
-			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
-			Contract: r.options.Contract, Recorder: r.recorder,
-			Measuring: r.measuringBudget, Count: r.meter.AddMeasuringBytes,
-		})),
-		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
-			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
-		})),
-		operators: schema.NewOperatorsServer(operator.New(operator.Options{
-			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
-			Client: r.controlClient, Load: r.load, Events: r.timelineEvents, Clock: r.options.Clock,
-			Published: r.options.Source != nil,
-		})),
-		registration:  registrar.New(r.announce, r.recorder),
-		readiness:     r.readinessHandler(),
-		announcements: r.announcementHandler(),
-		metrics:       promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
-	}, r.recorder)
-}
-
-// recovering wraps the handler of a server, so that its panics are recorded and the requests answered.
-func (r *Runner) recovering(server string, requestID func(*http.Request) string, handler http.Handler) http.Handler {
-	return recoverer.New(recoverer.Options{
-		Server: server, Recorder: r.recorder, Count: r.meter.CountPanic, RequestID: requestID, Respond: r.respondInternalError,
-	}, handler)
-}
-
-// respondInternalError answers a request of a caller, or an attempt of another node.
-func (r *Runner) respondInternalError(w http.ResponseWriter, requestID string) {
-	err := &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.InternalError}
-	responder.Write(w, r.options.Contract, requestID, err)
-}
-
-func (r *Runner) callerRequestID(request *http.Request) string {
-	call, _ := r.options.Contract.ReadCall(request)
-	return call.RequestID
-}
-
-func peerRequestID(request *http.Request) string {
-	return request.Header.Get(eelgrasspoint.HeaderRequestID)
-}
-
 // ErrorLog returns a writer that records the lines of the standard library's default logger.
 func (r *Runner) ErrorLog() io.Writer { return transcriber.New(r.recorder, defaultLogger) }
 
