A late registration does not bring back a backend server that has left

Cause: registrations in the project's own form have an incarnation, but the runner did not pass it on, so they were applied in order of arrival. A deregistration and a registration that wait while the node is paused are served together when it resumes: 45.122024 BackendLeft, 45.122670 BackendAnnounced, the same address. Evidence: TestStaleAnnouncements, the case without ID, before: 'n.backend is not nil'. Change: the incarnation orders them: a registration of the incarnation that left is ignored. Announcements on the users' platform have an ID and were ordered already.

--- a/coordination/controller/lifetime.go
+++ b/coordination/controller/lifetime.go
@@ -21,7 +21,7 @@
 	// another lifetime begins.
 	draining bool
 	// deregistered is set by a deregistration of the current lifetime. Later announcements of that
-	// lifetime are ignored if it has an ID.
+	// lifetime are ignored if it has an ID or an incarnation.
 	deregistered bool
 	// tombstones are the latest deregistrations with an ID but without an incarnation, oldest first.
 	tombstones []tombstone
@@ -56,7 +56,7 @@
 		l.begin(a)
 		return true
 	}
-	if !l.isCurrent(a) || l.deregistered && a.ID != "" {
+	if !l.isCurrent(a) || l.deregistered && identifiesLifetime(a) {
 		return false
 	}
 	if a.Sequence != 0 && a.Sequence <= l.sequence {
@@ -77,6 +77,9 @@
 	return a.ID != l.id
 }
 
+// identifiesLifetime reports whether the announcement tells its lifetime from others.
+func identifiesLifetime(a *eelgrasspoint.Announcement) bool { return a.ID != "" || a.Incarnation != 0 }
+
 // isCurrent reports whether the announcement belongs to the current lifetime.
 func (l *lifetime) isCurrent(a *eelgrasspoint.Announcement) bool {
 	if a.Incarnation != 0 {
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -70,6 +70,10 @@
 		{"deregisters without incarnation", []eelgrasspoint.Announcement{registration("a", 5, 3, false), deregistration("a", 0)}, deregistered, ""},
 		{"deregisters before its registration arrives", []eelgrasspoint.Announcement{deregistration("a", 5), registration("a", 5, 4, false)}, deregistered, ""},
 		{"deregisters without incarnation before its registration arrives", []eelgrasspoint.Announcement{deregistration("a", 0), registration("a", 5, 4, false)}, deregistered, ""},
+		// A registration in the project's own form has an incarnation, but no ID and no sequence; its deregistration
+		// has neither.
+		{"late registration after a deregistration, without ID", []eelgrasspoint.Announcement{registration("", 5, 0, false), deregistration("", 0), registration("", 5, 0, false)}, deregistered, ""},
+		{"starts again after a deregistration, without ID", []eelgrasspoint.Announcement{registration("", 5, 0, false), deregistration("", 0), registration("", 6, 0, false)}, ready, ""},
 		// A node that has just started registers the backend server after a health check, without
 		// incarnation and sequence.
 		{"late registration after a registration by health check and a deregistration without incarnation", []eelgrasspoint.Announcement{registration("a", 0, 0, false), deregistration("a", 0), registration("a", 5, 4, false)}, deregistered, ""},
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -200,7 +200,11 @@
 
 // announce submits an announcement of the registrar; nil means that the backend server left.
 func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
-	r.controller.Submit(controller.ApplyAnnouncement{Announcement: eelgrasspoint.Announcement{Backend: backend}})
+	announcement := eelgrasspoint.Announcement{Backend: backend}
+	if backend != nil {
+		announcement.Incarnation = backend.Incarnation
+	}
+	r.controller.Submit(controller.ApplyAnnouncement{Announcement: announcement})
 }
 
 func (r *Runner) reportCrash(crash executor.Crash) {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -20,6 +20,7 @@
 }{
 	{seed: 4, nodes: 12, duration: 8 * time.Second, cause: "planned operations only"},
 	{seed: 3, nodes: 12, duration: 10 * time.Second, cause: "all faults"},
+	{seed: 31018, nodes: 12, duration: 15 * time.Second, cause: "a late registration after the deregistration of a paused node's backend server"},
 }
 
 // TestSeeds guards against violated guarantees under planned operations and faults on real processes,
