An attempt is given up at a silent connection only with the token of the next one

Cause: the attempts on one silent connection were all given up while the budget had a token, and only some of them got it; the others ended with 502 although their exit node was at work. Evidence: TestAttemptsGivenUpTogetherPayTheirRetries without the token: 'w.Code is not http.StatusOK: 502'. Change: giving up takes the token of the retry that follows; without one the attempt goes on.

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -65,12 +65,27 @@
 	return meta
 }
 
+// giveUpFunc returns the function that gives up the attempt, or nil if no other can follow it. It takes the token of
+// the next attempt from the budget: several attempts on one connection must not count on the same token.
+func (p *proxiedRequest) giveUpFunc(meta eelgrasspoint.RequestMetadata) func() bool {
+	if !meta.Repeatable {
+		return nil
+	}
+	return func() bool {
+		if !p.forwarder.Retrier.TryWithdraw(meta.Service, retrier.Retry) {
+			return false
+		}
+		p.retryPaid.Store(true)
+		return true
+	}
+}
+
 // repeatable reports whether another attempt could follow one that may have run: the route, the body, the
 // candidates and the budget allow it at the moment.
 func (p *proxiedRequest) repeatable() bool {
 	failure := p.failure(&eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun})
 	failure.Attempts++
-	return p.attempts < eelgrasspoint.MaxTotalAttempts &&
+	return !p.queueRequested && p.attempts < eelgrasspoint.MaxTotalAttempts &&
 		len(p.snapshot.Candidates[p.meta.Service]) > len(p.tried) &&
 		retrier.MayRetry(failure, p.forwarder.Clock()) &&
 		p.forwarder.Retrier.CanWithdraw(p.meta.Service, retrier.Retry)
@@ -86,7 +101,7 @@
 	p.chargeLink(candidate, max(p.request.ContentLength, 0)+estimatedHeaderBytes)
 	answer, err := p.roundTripper(candidate).RoundTrip(ctx, candidate, &eelgrasspoint.Attempt{
 		Meta: meta, Method: p.request.Method, Target: p.request.RequestURI, Host: p.request.Host,
-		Header: p.header, Body: body, Length: p.request.ContentLength,
+		Header: p.header, Body: body, Length: p.request.ContentLength, GiveUp: p.giveUpFunc(meta),
 	})
 	now := f.Clock()
 	if answer != nil && answer.HasLoad {
--- a/coordination/forwarder/repeatable_test.go
+++ b/coordination/forwarder/repeatable_test.go
@@ -1,10 +1,12 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -53,3 +55,34 @@
 		assert.Assert(t, !e.attempts[len(e.attempts)-1].meta.Repeatable)
 	})
 }
+
+// TestAttemptsGivenUpTogetherPayTheirRetries guards against requests that end with an error while their backend
+// server is at work: all of them were given up at one silent connection, and the budget was enough for some.
+func TestAttemptsGivenUpTogetherPayTheirRetries(t *testing.T) {
+	const requests = 3 * eelgrasspoint.AttemptBudgetBurst
+	arrived, silent := make(chan struct{}), make(chan struct{})
+	e := newEntry(&eelgrasspoint.Route{Idempotent: true}, map[string]attemptFunc{
+		"node-0": func(_ context.Context, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+			arrived <- struct{}{}
+			<-silent
+			if attempt.GiveUp != nil && attempt.GiveUp() {
+				return nil, &eelgrasspoint.OutcomeError{Outcome: eelgrasspoint.MayHaveRun, Reason: eelgrasspoint.ConnectionLost}
+			}
+			return answer(http.StatusOK)(context.Background(), attempt)
+		},
+		"node-1": answer(http.StatusOK),
+	})
+	var group sync.WaitGroup
+	for range requests {
+		group.Go(func() {
+			w := httptest.NewRecorder()
+			e.handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+			assert.Check(t, w.Code == http.StatusOK, "%d", w.Code)
+		})
+	}
+	for range requests {
+		<-arrived
+	}
+	close(silent)
+	group.Wait()
+}
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -48,6 +48,8 @@
 	queueRequested bool
 	// configurationFetched is set once a stale route has caused a fetch; there is at most one per request.
 	configurationFetched bool
+	// retryPaid is set if the token of the next retry was taken when the attempt before it was given up.
+	retryPaid atomic.Bool
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun atomic.Bool
 }
@@ -193,8 +195,9 @@
 	if p.queueRequested && p.queueTimePassed() {
 		return false
 	}
+	paid := purpose == retrier.Retry && p.retryPaid.Swap(false)
 	// A redirect goes ahead even without budget, since the last attempt reached no backend server.
-	if !p.forwarder.Retrier.TryWithdraw(p.meta.Service, purpose) && purpose != retrier.Redirect {
+	if !paid && !p.forwarder.Retrier.TryWithdraw(p.meta.Service, purpose) && purpose != retrier.Redirect {
 		return false
 	}
 	p.recordRetry(candidate, lastErr)
--- a/request.go
+++ b/request.go
@@ -85,6 +85,9 @@
 	Header http.Header
 	Body   io.ReadCloser
 	Length int64
+	// GiveUp is called when the connection to the exit node is silent, and reports whether the attempt is to end
+	// because another one will follow. Without it, the attempt goes on.
+	GiveUp func() bool
 }
 
 // TargetURL returns the URL with which net/http sends the request target unchanged to the host. If the path begins
--- a/transport/dispatcher/delivery.go
+++ b/transport/dispatcher/delivery.go
@@ -15,10 +15,9 @@
 
 // delivery is an attempt from its start until its answer is closed.
 type delivery struct {
-	// repeatable is set if the attempt is canceled when its connection is silent, so that the request can be
-	// sent elsewhere.
-	repeatable bool
-	cancel     context.CancelFunc
+	// giveUp is that of the attempt, or nil.
+	giveUp func() bool
+	cancel context.CancelFunc
 	// connected is set if the attempt may have been sent.
 	connected bool
 	bodyRead  atomic.Bool
@@ -50,11 +49,17 @@
 func (v *delivery) gotConn(info httptrace.GotConnInfo) {
 	v.connected = true
 	c, watched := info.Conn.(*connection)
-	if !watched || !v.repeatable {
+	if !watched || v.giveUp == nil {
 		return
 	}
 	v.endWatch()
-	v.unwatch = c.onSilence(v.cancel)
+	v.unwatch = c.onSilence(v.cancelIfGivenUp)
+}
+
+func (v *delivery) cancelIfGivenUp() {
+	if v.giveUp() {
+		v.cancel()
+	}
 }
 
 // endWatch keeps a silent connection from canceling the attempt.
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -79,7 +79,7 @@
 // holds only the load hint.
 func (d *Dispatcher) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	sendCtx, cancel := context.WithCancel(ctx)
-	v := &delivery{repeatable: attempt.Meta.Repeatable, cancel: cancel}
+	v := &delivery{giveUp: attempt.GiveUp, cancel: cancel}
 	request := d.request(httptrace.WithClientTrace(sendCtx, v.trace()), candidate, attempt)
 	if attempt.Length != 0 {
 		v.attach(request, attempt.Body)
--- a/transport/dispatcher/silence_test.go
+++ b/transport/dispatcher/silence_test.go
@@ -53,8 +53,8 @@
 				return &pausedConn{Conn: conn, paused: &paused}, err
 			}, "region", time.Now)
 			defer d.Close()
-			meta := eelgrasspoint.RequestMetadata{Route: "r", Repeatable: true, Deadline: time.Now().Add(time.Minute)}
-			answer, err := d.RoundTrip(t.Context(), candidate, &eelgrasspoint.Attempt{Meta: meta, Method: http.MethodGet, Target: "/", Header: http.Header{}})
+			meta := eelgrasspoint.RequestMetadata{Route: "r", Deadline: time.Now().Add(time.Minute)}
+			answer, err := d.RoundTrip(t.Context(), candidate, &eelgrasspoint.Attempt{Meta: meta, Method: http.MethodGet, Target: "/", Header: http.Header{}, GiveUp: func() bool { return true }})
 			assert.NilError(t, err)
 			defer answer.Response.Body.Close()
 			paused.Store(true)
