RevisionInForce says where a revision came from; reads that were sent again are counted

Now the event has Origin, From, Version, TookMilliseconds and Digest, and eelgrass_store_calls_total counts such reads as resent. No change of logic.

--- a/configuration.go
+++ b/configuration.go
@@ -1,8 +1,11 @@
 package eelgrasspoint
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Region is a group of availability zones whose traffic with other regions uses one link that is
@@ -133,6 +136,41 @@
 
 // Configuration is an immutable document with its revision.
 type Configuration struct {
-	Revision uint64
-	Document Document
+	Revision   uint64
+	Document   Document
+	Provenance Provenance
+}
+
+// Provenance is how a node got a configuration. It is logged and decides nothing.
+type Provenance struct {
+	Origin Origin
+	// Node is the name of the node that sent the configuration, for OtherNode.
+	Node string
+	// Version is the number that the operators gave the document, or zero if it is unknown.
+	Version uint64
+	// Took is how long the call lasted, with the wait for a change.
+	Took time.Duration
+}
+
+//go:generate stringer -type=Origin -output=origin_string.go
+
+// Origin is where a node got a configuration from.
+type Origin int
+
+// Origins of configurations.
+const (
+	UnknownOrigin Origin = iota
+	// StoreFeed is a call of the table service that waited for changes, StoreScan a read of all rows.
+	StoreFeed
+	StoreScan
+	// OwnChange is a change that was made through the node.
+	OwnChange
+	OtherNode
+)
+
+// Digest returns a hash of the whole document, by which logs of several nodes can be compared.
+func (d *Document) Digest() uint64 {
+	// A Document has no value that can't be encoded.
+	encoded, _ := json.Marshal(d)
+	return xxhash.Sum64(encoded)
 }
--- a/coordination/committer/committer.go
+++ b/coordination/committer/committer.go
@@ -79,7 +79,9 @@
 	if err := c.replace(ctx, base, proposal.ChangeID, &next); err != nil {
 		return 0, err
 	}
-	c.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: revision + 1, Document: next}})
+	c.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{
+		Revision: revision + 1, Document: next, Provenance: eelgrasspoint.Provenance{Origin: eelgrasspoint.OwnChange},
+	}})
 	return revision + 1, nil
 }
 
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -142,7 +142,7 @@
 	if r.Configuration.Revision <= c.configuration.Revision {
 		return
 	}
-	c.setConfiguration(r.Configuration.Revision, r.Configuration.Document)
+	c.setConfiguration(r.Configuration)
 }
 
 // Rebroadcast gossips known members again, for example those that another node lacks.
@@ -156,13 +156,13 @@
 	}
 }
 
-// setConfiguration puts a revision in force. The caller ensures that it is higher than the one in
-// force.
-func (c *Controller) setConfiguration(revision uint64, document eelgrasspoint.Document) {
+// setConfiguration puts a configuration in force. The caller ensures that its revision is higher than the one
+// in force.
+func (c *Controller) setConfiguration(configuration eelgrasspoint.Configuration) {
 	previous := c.zonesOutOfService()
-	c.configuration = &eelgrasspoint.Configuration{Revision: revision, Document: document}
+	c.configuration = &configuration
 	c.router = router.New(&c.configuration.Document)
-	c.record(eelgrasspoint.EventRevisionInForce, "", "", fmt.Sprintf("revision %d", revision))
+	c.recordRevision()
 	c.recordZoneChanges(previous)
 	if c.options.SetBudgets != nil {
 		c.options.SetBudgets(&c.configuration.Document, c.nodesInRegion())
@@ -170,6 +170,25 @@
 	c.signalUpdates()
 }
 
+// recordRevision records the revision in force, and how the node got it.
+func (c *Controller) recordRevision() {
+	provenance := c.configuration.Provenance
+	inputs := []eelgrasspoint.Input{
+		{Name: "Origin", Value: provenance.Origin.String()},
+		{Name: "Digest", Value: fmt.Sprintf("%016x", c.configuration.Document.Digest())},
+		{Name: "TookMilliseconds", Value: provenance.Took.Milliseconds()},
+	}
+	if provenance.Node != "" {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "From", Value: provenance.Node})
+	}
+	if provenance.Version != 0 {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: provenance.Version})
+	}
+	c.options.Recorder.Record(eelgrasspoint.Event{
+		Number: eelgrasspoint.EventRevisionInForce, Detail: fmt.Sprintf("revision %d", c.configuration.Revision), Inputs: inputs,
+	})
+}
+
 func (c *Controller) recordZoneChanges(previous map[string]bool) {
 	for _, zone := range c.configuration.Document.AvailabilityZones {
 		wasOut, known := previous[zone.Name]
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -122,7 +122,11 @@
 	if response.GetConfiguration() == nil {
 		return
 	}
-	f.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: translator.Configuration(response)})
+	configuration := translator.Configuration(response)
+	configuration.Provenance = eelgrasspoint.Provenance{
+		Origin: eelgrasspoint.OtherNode, Node: m.Name, Took: f.options.Clock().Sub(current.startedAt),
+	}
+	f.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
 	f.options.Controller.WaitApplied()
 }
 
--- a/runner/build.go
+++ b/runner/build.go
@@ -68,7 +68,7 @@
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
 	rowPublisher := publisher.New(r.table)
-	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered}
+	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered, clock: clock}
 	if r.options.Source != nil {
 		r.source = r.options.Source(r.meter.CountStoreCall)
 	}
--- a/runner/source.go
+++ b/runner/source.go
@@ -24,6 +24,7 @@
 type polledSource struct {
 	publisher *publisher.Publisher
 	sleep     func(ctx context.Context, interval time.Duration)
+	clock     eelgrasspoint.Clock
 	// hasRead is set after the first successful read.
 	hasRead bool
 }
@@ -33,8 +34,10 @@
 	if s.hasRead {
 		s.sleep(ctx, eelgrasspoint.PollInterval)
 	}
+	startedAt := s.clock()
 	published, err := s.publisher.Read(ctx)
 	s.hasRead = s.hasRead || err == nil
+	published.Configuration.Provenance = eelgrasspoint.Provenance{Origin: eelgrasspoint.StoreScan, Took: s.clock().Sub(startedAt)}
 	return published.Configuration, err
 }
 
--- a/transport/sender/sender.go
+++ b/transport/sender/sender.go
@@ -44,8 +44,8 @@
 // Send makes one call and does not repeat it, because a write whose response was lost may have taken
 // effect. The parameter call is its label in the metrics; a body that is not nil is sent as JSON.
 func (s *Sender) Send(ctx context.Context, call, method, url string, body []byte) Result {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connections atomic.Int32
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections.Add(1) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, nil)
 	if err != nil {
 		return Result{Err: err}
@@ -57,7 +57,10 @@
 		request.ContentLength = int64(len(body))
 	}
 	result := s.send(request)
-	result.connected = connected.Load()
+	result.connected = connections.Load() > 0
+	if connections.Load() > 1 {
+		s.count(call, resentLabel)
+	}
 	s.count(call, result.label())
 	return result
 }
@@ -78,6 +81,10 @@
 	return Result{Status: response.StatusCode, Header: response.Header, Body: body, Err: err}
 }
 
+// resentLabel is counted in addition to the result of a read that net/http sent again, because the connection on
+// which it waited for the response had failed.
+const resentLabel = "resent"
+
 // label returns the label of the result in the metrics: ok, timeout, error or the status code.
 func (r Result) label() string {
 	switch {
--- a/transport/sender/sender_test.go
+++ b/transport/sender/sender_test.go
@@ -84,3 +84,20 @@
 	var target *eelgrasspoint.UnknownOutcomeError
 	return errors.As(err, &target)
 }
+
+// TestReadSentAgainIsCounted guards against a read whose lost connection leaves no trace, as net/http sends it again.
+func TestReadSentAgainIsCounted(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) == 2 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	counted := make(map[string]int)
+	s := sender.New(&http.Client{Transport: &http.Transport{}}, func(_, result string) { counted[result]++ })
+	for range 2 {
+		assert.NilError(t, s.Send(t.Context(), "Changes", http.MethodGet, server.URL, nil).Err)
+	}
+	assert.DeepEqual(t, counted, map[string]int{"ok": 2, "resent": 1})
+}
