Calls between nodes leave a connection that has fallen silent

And a fetch of the configuration waited up to 3 s for a dead connection of its own, while every later fetch from that node joined it.

Change: package messenger sends a call that has no response after 0.4 s once more, on a new connection that later calls use too; the first response counts, and the old call goes on, since a slow link looks the same at first. The generations of connections that the dispatcher had for that are now a package of their own, renewer.

--- a/constants.go
+++ b/constants.go
@@ -210,6 +210,9 @@
 const (
 	HeartbeatInterval = time.Second
 	HeartbeatTimeout  = 800 * time.Millisecond
+	// ExchangeResendAfter is how long a call to another node has no response before it is sent again on a new
+	// connection: early enough that a heartbeat is still answered in time.
+	ExchangeResendAfter = HeartbeatTimeout / 2
 	// ConfigurationTimeout bounds the fetch of a configuration from another node.
 	ConfigurationTimeout = 3 * time.Second
 	// HeartbeatFailures is the number of failures in a row after which a member counts as failed.
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -146,9 +146,6 @@
 	client := o.client(m)
 	response, err := client.Converse(ctx, o.request(view, m.Name))
 	if err != nil {
-		// The connection may be dead, so the next heartbeat must use a new one. The idle connections to
-		// other members are closed too, since http.Client can't close those to one host.
-		o.options.Client.CloseIdleConnections()
 		return err
 	}
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
--- a/runner/build.go
+++ b/runner/build.go
@@ -23,6 +23,7 @@
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/publisher"
 	"eelgrasspoint/transport/dispatcher"
+	"eelgrasspoint/transport/messenger"
 	"eelgrasspoint/transport/receiver"
 	"eelgrasspoint/transport/recoverer"
 )
@@ -39,7 +40,7 @@
 	}
 	r.quarantiner = quarantiner.New(clock)
 	r.retrier = retrier.New(r.retryLimits())
-	r.controlClient = &http.Client{Transport: dispatcher.NewTransport(r.controlDialer.DialContext)}
+	r.controlClient = &http.Client{Transport: messenger.New(r.controlDialer.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantiner, Recorder: r.recorder,
 		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -137,6 +138,13 @@
 	n.forEachConn(func(c *conn) bool { return c.hasEndpoint(host) }, (*conn).stall)
 }
 
+// StallConnectionsAmong permanently stalls every open connection between two of the hosts; new ones work.
+func (n *Network) StallConnectionsAmong(hosts []netip.Addr) {
+	n.forEachConn(func(c *conn) bool {
+		return slices.Contains(hosts, c.local.Addr()) && slices.Contains(hosts, c.remote.Addr())
+	}, (*conn).stall)
+}
+
 // Reset resets every open connection of a host.
 func (n *Network) Reset(host netip.Addr) {
 	n.forEachConn(func(c *conn) bool { return c.hasEndpoint(host) }, (*conn).reset)
--- a/standin/proof/membership_test.go
+++ b/standin/proof/membership_test.go
@@ -19,6 +19,8 @@
 	crashDetectionLimit    = 3 * time.Second
 	leavePropagationLimit  = time.Second
 	changePropagationLimit = 3 * time.Second
+	// shortestChangePropagationLimit is the shortest that a deployment states.
+	shortestChangePropagationLimit = 2500 * time.Millisecond
 )
 
 // withNodes runs a check over nodes in the four zones of simulator.ExampleDocument, 6 s after their start.
--- /dev/null
+++ b/standin/proof/silence_test.go
@@ -0,0 +1,49 @@
+package proof
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint/standin/platform"
+	"eelgrasspoint/standin/simulator"
+)
+
+// stallNodes stalls the open connections between nodes for good.
+func stallNodes(s *simulator.Simulator) {
+	var hosts []netip.Addr
+	for _, n := range s.Nodes {
+		hosts = append(hosts, n.Host)
+	}
+	s.Network.StallConnectionsAmong(hosts)
+}
+
+// TestHeartbeatsLeaveSilentConnections guards against sound nodes taken for failed when connections fall silent for good.
+func TestHeartbeatsLeaveSilentConnections(t *testing.T) {
+	withNodes(t, 8, platform.Faults{}, func(t *testing.T, s *simulator.Simulator) {
+		stallNodes(s)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range s.Nodes {
+				assert.Equal(t, countAlive(n), len(s.Nodes), "members alive in the view of %s", n.Name)
+			}
+		}
+	})
+}
+
+// TestChangePassesSilentConnections guards against a change that stays on connections that fell silent before it.
+func TestChangePassesSilentConnections(t *testing.T) {
+	withNodes(t, 40, platform.Faults{}, func(t *testing.T, s *simulator.Simulator) {
+		s.ApplyDocument(t.Context(), s.Nodes[0], simulator.ExampleDocument())
+		time.Sleep(time.Second)
+		stallNodes(s)
+		changed := s.SetZone(t.Context(), s.Nodes[0], "almaty", "almaty-b", true, "almaty-b")
+		assert.Assert(t, changed.GetRevision() > 0, "%v", changed)
+		time.Sleep(shortestChangePropagationLimit)
+		for _, n := range s.Nodes {
+			assert.Equal(t, n.Runner.View().Revision, changed.GetRevision(), "revision at %s", n.Name)
+		}
+	})
+}
--- a/transport/dispatcher/connection.go
+++ b/transport/dispatcher/connection.go
@@ -17,8 +17,9 @@
 type connection struct {
 	net.Conn
 	dispatcher *Dispatcher
-	peer       peer
-	openedAt   time.Time
+	// host is that of the URLs of its requests.
+	host     string
+	openedAt time.Time
 	// lastRead is the time from openedAt to the last read.
 	lastRead atomic.Int64
 	// unanswered is the number of bytes written since the last read.
@@ -50,8 +51,8 @@
 	maxBytesBeforePing = eelgrasspoint.MaxBodyBytesWithoutContinue
 )
 
-func newConnection(conn net.Conn, d *Dispatcher, p peer) *connection {
-	c := &connection{Conn: conn, dispatcher: d, peer: p, openedAt: time.Now()}
+func newConnection(conn net.Conn, d *Dispatcher, host string) *connection {
+	c := &connection{Conn: conn, dispatcher: d, host: host, openedAt: time.Now()}
 	c.heard, c.giveUp = context.WithCancel(context.Background())
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,7 +114,7 @@
 	if !c.isSilent() {
 		return
 	}
-	c.dispatcher.replace(c.peer)
+	c.dispatcher.renewer.Renew(c.host)
 	if c.isDead() {
 		c.abandon()
 		return
@@ -155,7 +156,7 @@
 // connection, or it was silent for PeerSilenceLimit.
 func (c *connection) isDead() bool {
 	lastRead := c.lastRead.Load()
-	answered := c.dispatcher.probe(c.peer.address)
+	answered := c.dispatcher.probe(c.host)
 	time.Sleep(probeGrace)
 	if c.lastRead.Load() != lastRead {
 		return false
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -7,26 +7,21 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/netip"
-	"sync"
 	"time"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/transport/dialer"
 	"eelgrasspoint/transport/relayer"
+	"eelgrasspoint/transport/renewer"
 )
 
 // Dispatcher sends attempts over HTTP/2 without TLS. It is safe for concurrent use.
 type Dispatcher struct {
-	transport   *http.Transport
-	dialAddress dialer.Func
-	region      string
-	clock       eelgrasspoint.Clock
-
-	mu sync.Mutex
-	// generations holds the generations of peers that are not zero.
-	generations map[netip.AddrPort]uint64
+	transport *http.Transport
+	renewer   *renewer.Renewer
+	region    string
+	clock     eelgrasspoint.Clock
 }
 
 var _ eelgrasspoint.RoundTripper = (*Dispatcher)(nil)
@@ -36,10 +31,8 @@
 // attempts use a new connection, and the attempts that can be repeated fail; the others wait until the
 // connection is dead or their deadline passes.
 func New(dial dialer.Func, region string, clock eelgrasspoint.Clock) *Dispatcher {
-	d := &Dispatcher{
-		dialAddress: dial, region: region, clock: clock, generations: make(map[netip.AddrPort]uint64),
-	}
-	d.transport = newTransport(withTimeout(d.dial, eelgrasspoint.ConnectTimeout))
+	d := &Dispatcher{renewer: renewer.New(), region: region, clock: clock}
+	d.transport = newTransport(withTimeout(d.watched(d.renewer.Dial(dial)), eelgrasspoint.ConnectTimeout))
 	d.transport.IdleConnTimeout = eelgrasspoint.PeerIdleTimeout
 	d.transport.HTTP2.SendPingTimeout = eelgrasspoint.PeerPingAfter
 	// net/http closes a connection whose ping is not answered in time, even if it receives other frames.
@@ -104,7 +97,7 @@
 	header[eelgrasspoint.HeaderEntryRegion] = []string{d.region}
 	request := &http.Request{
 		Method:        attempt.Method,
-		URL:           eelgrasspoint.TargetURL(d.currentPeer(candidate.PeerAddress).host(), attempt.Target),
+		URL:           eelgrasspoint.TargetURL(d.renewer.Host(candidate.PeerAddress), attempt.Target),
 		Host:          attempt.Host,
 		Header:        header,
 		Body:          http.NoBody,
--- /dev/null
+++ b/transport/messenger/messenger_test.go
@@ -0,0 +1,90 @@
+package messenger_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/transport/messenger"
+)
+
+// silenceable is a connection that never reads again once it is silenced.
+type silenceable struct {
+	net.Conn
+	silenced chan struct{}
+}
+
+func (c *silenceable) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.silenced:
+		select {}
+	default:
+		return n, err
+	}
+}
+
+// TestCallLeavesSilentConnection guards against a call that waits for a connection that is dead without having been closed.
+func TestCallLeavesSilentConnection(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	var mu sync.Mutex
+	var opened []*silenceable
+	m := messenger.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		mu.Lock()
+		defer mu.Unlock()
+		opened = append(opened, &silenceable{Conn: conn, silenced: make(chan struct{})})
+		return opened[len(opened)-1], err
+	})
+	client := &http.Client{Transport: m, Timeout: eelgrasspoint.HeartbeatTimeout}
+	assert.Equal(t, call(t, client, address), "hello")
+	mu.Lock()
+	close(opened[0].silenced)
+	mu.Unlock()
+	assert.Equal(t, call(t, client, address), "hello")
+	startedAt := time.Now()
+	assert.Equal(t, call(t, client, address), "hello")
+	assert.Assert(t, time.Since(startedAt) < eelgrasspoint.ExchangeResendAfter, "later calls use the new connection")
+}
+
+// TestSlowCallIsAnswered guards against a response that is lost because the call was sent twice.
+func TestSlowCallIsAnswered(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(eelgrasspoint.ExchangeResendAfter + 100*time.Millisecond)
+		_, _ = io.Copy(w, r.Body)
+	})
+	client := &http.Client{Transport: messenger.New((&net.Dialer{}).DialContext)}
+	defer client.CloseIdleConnections()
+	assert.Equal(t, call(t, client, address), "hello")
+}
+
+// serve starts an HTTP/2 server without TLS and returns its address.
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func call(t *testing.T, client *http.Client, address string) string {
+	t.Helper()
+	response, err := client.Post("http://"+address+"/", "text/plain", bytes.NewReader([]byte("hello")))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
