A silent connection to the store is given up after 2 s

Cause: a node learns of changes by a call that may wait 25 s, and only TCP's keep-alive shows that its connection is dead. The settings asked for three probes 500 ms apart, 2.5 s in all as their comment said, but TCP counts in seconds and Go rounds up: the kernel holds idle 1, interval 1, count 3 (read back from the socket), so 4 s, longer than a change may take (2.5 s) and than connections that fell silent excuse (3 s). All nodes were deaf for 4.0 s after each silence, then had the change at once. No line said so, since net/http sends a read again by itself.

Change: package opener opens the connections to the store, with one probe after a second and another second for its answer, and with TCP_USER_TIMEOUT, since no probe is sent while data is unacknowledged. The other connections keep their 4 s, now stated as such: requests may be in flight on them.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -24,7 +24,7 @@
 	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/reloader"
 	"eelgrasspoint/state/storer"
-	"eelgrasspoint/transport/dialer"
+	"eelgrasspoint/transport/opener"
 )
 
 func main() {
@@ -76,15 +76,16 @@
 	go reloader.New(path, settings).Run(ctx, signals, node.ApplySettings, node.RejectSettings)
 }
 
-// keepAlive detects dead TCP connections after 2.5 s: 1 s idle and three probes, 500 ms apart.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+// keepAlive detects dead TCP connections to other nodes and backend servers after 4 s: 1 s idle and three probes, 1 s
+// apart, the shortest interval that TCP has.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // usePlatformContract sets the options for the platform's contract: the table of the member rows, the
 // source of the configuration, headers, handlers of announcements and readiness, loads from the answers of
 // backend servers, and a fixed concurrency limit.
 func usePlatformContract(options *runner.Options) {
 	settings := options.Settings
-	client := newTableClient(options.Dial)
+	client := newTableClient()
 	options.Table = func(count func(call, result string)) eelgrasspoint.Table {
 		return platform.NewTable(settings.Platform, client, count)
 	}
@@ -109,15 +110,15 @@
 		if !settings.Platform.IsValid() {
 			return storer.New()
 		}
-		return connector.New(settings.Platform, newTableClient(nil), count)
+		return connector.New(settings.Platform, newTableClient(), count)
 	}
 }
 
-// newTableClient returns an HTTP client of the table service. Without dial, it opens its connections like
-// net.Dialer.
-func newTableClient(dial dialer.Func) *http.Client {
+// newTableClient returns an HTTP client of the table service.
+func newTableClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxConnsPerHost: maxTableConnections, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
+		DialContext:     opener.New(eelgrasspoint.StoreSilenceLimit).DialContext,
+		MaxConnsPerHost: maxTableConnections, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
 	}}
 }
 
--- a/constants.go
+++ b/constants.go
@@ -251,6 +251,9 @@
 	// CommitRetryTimeout bounds the repetitions of a configuration change whose response was lost; they
 	// show whether the change took effect.
 	CommitRetryTimeout = 5 * time.Second
+	// StoreSilenceLimit is how long a connection to the table service acknowledges nothing before it is closed. It
+	// leaves half a second of the shortest time in which a change must be in force everywhere.
+	StoreSilenceLimit = 2 * time.Second
 	// StoreTimeout bounds one call to the table service.
 	StoreTimeout = 2 * time.Second
 	// OperatorCallTimeout bounds each call to another node that is made to answer an operator's request,
--- /dev/null
+++ b/transport/opener/opener_test.go
@@ -0,0 +1,42 @@
+package opener_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint/transport/opener"
+)
+
+// TestSilenceShowsInTime guards against a dead connection that is taken for one without news for longer than stated.
+func TestSilenceShowsInTime(t *testing.T) {
+	for _, silence := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		options := socketOptions(t, opener.New(silence))
+		probes := options[unix.TCP_KEEPIDLE] + options[unix.TCP_KEEPINTVL]*options[unix.TCP_KEEPCNT]
+		assert.Equal(t, time.Duration(probes)*time.Second, silence)
+		assert.Equal(t, time.Duration(options[unix.TCP_USER_TIMEOUT])*time.Millisecond, silence)
+	}
+}
+
+// socketOptions returns the TCP options of a connection that the opener opens.
+func socketOptions(t *testing.T, o *opener.Opener) map[int]int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	conn, err := o.DialContext(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	options := make(map[int]int)
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		for _, name := range []int{unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT, unix.TCP_USER_TIMEOUT} {
+			options[name], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name)
+		}
+	}))
+	return options
+}
