A call to the store without a response closes the idle connections

Cause: net/http closes only the connection of the call that timed out.

Test: TestCallAfterTimeoutUsesNewConnection, three open connections of which all are dead; before: the call after the one that timed out had no response within 2 s either.

--- a/transport/sender/sender.go
+++ b/transport/sender/sender.go
@@ -57,6 +57,10 @@
 		request.ContentLength = int64(len(body))
 	}
 	result := s.send(request)
+	if errors.Is(result.Err, context.DeadlineExceeded) {
+		// The idle connections may be dead, too.
+		s.client.CloseIdleConnections()
+	}
 	result.connected = connections.Load() > 0
 	if connections.Load() > 1 {
 		s.count(call, resentLabel)
--- a/transport/sender/sender_test.go
+++ b/transport/sender/sender_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,3 +102,35 @@
 	}
 	assert.DeepEqual(t, counted, map[string]int{"ok": 2, "resent": 1})
 }
+
+// TestCallAfterTimeoutUsesNewConnection guards against calls that wait for one dead connection after the other.
+func TestCallAfterTimeoutUsesNewConnection(t *testing.T) {
+	const connections = 3
+	var open sync.WaitGroup
+	open.Add(connections)
+	var calls atomic.Int32
+	var dead sync.Map
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, isDead := dead.LoadOrStore(r.RemoteAddr, true); isDead {
+			waitForDisconnect(w, r)
+		}
+		if calls.Add(1) <= connections {
+			// The first calls wait for each other, so that each one opens a connection.
+			open.Done()
+			open.Wait()
+		}
+	}))
+	defer server.Close()
+	s := sender.New(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}}, func(string, string) {})
+	var first sync.WaitGroup
+	for range connections {
+		first.Go(func() { assert.Check(t, s.Send(t.Context(), "Scan", http.MethodGet, server.URL, nil).Err) })
+	}
+	first.Wait()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, s.Send(ctx, "Changes", http.MethodGet, server.URL, nil).Err, context.DeadlineExceeded)
+	ctx, cancel = context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Send(ctx, "Changes", http.MethodGet, server.URL, nil).Err)
+}
