Nodes take turns to begin a call for changes

The keep-alive of TCP is answered by any kernel or proxy on the way, also if the store behind it no longer hears; a call for changes could then last 27 s, at all nodes at once, and no node could tell the others.

Change: a call waits until the node's next turn (package staggerer: one of all nodes begins a call each half second, each one at least every 25 s), and is given up 1 s after that. The node that learns of a change tells the others, as before. More calls: 0.5 s x nodes between two calls of one node.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -89,8 +89,8 @@
 	options.Table = func(count func(call, result string)) eelgrasspoint.Table {
 		return platform.NewTable(settings.Platform, client, count)
 	}
-	options.Source = func(count func(call, result string)) eelgrasspoint.Source {
-		return platform.NewSource(platform.NewTable(settings.Platform, client, count), settings.AvailabilityZones)
+	options.Source = func(count func(call, result string), wait func() time.Duration) eelgrasspoint.Source {
+		return platform.NewSource(platform.NewTable(settings.Platform, client, count), settings.AvailabilityZones, wait)
 	}
 	options.Contract = platform.Contract{}
 	options.TellsLoad = true
--- a/runner/build.go
+++ b/runner/build.go
@@ -18,6 +18,7 @@
 	"eelgrasspoint/coordination/operator"
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/protocol/registrar"
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
@@ -69,9 +70,10 @@
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
 	rowPublisher := publisher.New(r.table)
+	r.staggerer = staggerer.New(eelgrasspoint.ChangesCallInterval, eelgrasspoint.MaxChangesWait)
 	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered, clock: clock}
 	if r.options.Source != nil {
-		r.source = r.options.Source(r.meter.CountStoreCall)
+		r.source = r.options.Source(r.meter.CountStoreCall, r.changesWait)
 	}
 	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rowPublisher, Recorder: r.recorder})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -25,6 +25,7 @@
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/budgeter"
@@ -56,6 +57,7 @@
 	observer        *observer.Observer
 	table           eelgrasspoint.Table
 	source          eelgrasspoint.Source
+	staggerer       *staggerer.Staggerer
 	committer       *committer.Committer
 	linkBudget      *budgeter.Budgeter
 	measuringBudget *budgeter.Budgeter
@@ -85,9 +87,10 @@
 	// Chooser and Limiter are optional; the defaults are chooser.New and limiter.New.
 	Chooser eelgrasspoint.Chooser
 	Limiter eelgrasspoint.Limiter
-	// Source returns the source of the published configuration; count is as for Table. If nil, the
-	// configuration is a row of the table, which operators change through the API.
-	Source func(count func(call, result string)) eelgrasspoint.Source
+	// Source returns the source of the published configuration; count is as for Table, and wait returns how long
+	// the source may wait for the next change in one call. If nil, the configuration is a row of the table, which
+	// operators change through the API.
+	Source func(count func(call, result string), wait func() time.Duration) eelgrasspoint.Source
 	// Contract reads and writes the headers of callers and backend servers; the default is parser.New.
 	Contract eelgrasspoint.Contract
 	// TellsLoad is set if backend servers report their load in the headers of their answers.
--- a/runner/source.go
+++ b/runner/source.go
@@ -41,6 +41,23 @@
 	return published.Configuration, err
 }
 
+// changesWait returns how long the source may wait for the next change in one call. A node can't tell a call whose
+// response will never come from one without changes, so the nodes take turns to begin a new one. The node that learns of
+// a change tells the others.
+func (r *Runner) changesWait() time.Duration {
+	rank, nodes := 0, 0
+	for _, m := range r.controller.View().Members {
+		if !m.Alive() {
+			continue
+		}
+		if m.Name < r.settings.Name {
+			rank++
+		}
+		nodes++
+	}
+	return r.staggerer.Wait(r.options.Clock(), rank, nodes)
+}
+
 // followConfiguration waits for published configurations until ctx ends, and puts each one with a
 // higher revision in force.
 func (r *Runner) followConfiguration(ctx context.Context) {
