Logs and metrics say what limit a backend server names, and that it leaves

Events BackendLimited, BackendUnlimited and BackendLeaving; metrics eelgrass_backend_rate_limit and eelgrass_backend_requests_total; a limit that is no finite number of at least zero is recorded as BadInput and counts as none. The project's own contract gets two headers for the same. Nothing is decided by it yet.

--- a/constants.go
+++ b/constants.go
@@ -11,6 +11,12 @@
 	HeaderDepth     = "Eelgrass-Depth"
 )
 
+// Header names of the contract with backend servers, in their answers: see ServerNotice.
+const (
+	HeaderRateLimit = "Eelgrass-Rate-Limit"
+	HeaderLeaving   = "Eelgrass-Leaving"
+)
+
 // Header names used between nodes only; they never reach a caller or a backend server.
 const (
 	HeaderReason      = "Eelgrass-Reason"
--- a/contract.go
+++ b/contract.go
@@ -22,6 +22,17 @@
 	Slowness float64
 }
 
+// ServerNotice is what a backend server says about itself in the headers of an answer, besides its load.
+type ServerNotice struct {
+	// Limited is set if the server names a limit: the requests per second that it takes from all nodes together.
+	Limited   bool
+	RateLimit float64
+	// Invalid is a limit that is no finite number of at least zero. It counts as none.
+	Invalid string
+	// Leaving is set if the server is about to end.
+	Leaving bool
+}
+
 // AnswerMetadata is what a backend server reports in the headers of an answer.
 type AnswerMetadata struct {
 	// NotRun is set if the answer proves that the request was not executed.
@@ -30,6 +41,10 @@
 	Reason  Reason
 	Load    ServerLoad
 	HasLoad bool
+	// HasNotice is set if the answer is that of the backend server to this request, so that a limit that Notice
+	// does not name has ended.
+	HasNotice bool
+	Notice    ServerNotice
 }
 
 // Health is the result of a health check.
@@ -39,6 +54,7 @@
 	ID      string
 	Load    ServerLoad
 	HasLoad bool
+	Notice  ServerNotice
 	// Cold is the remaining time of the backend server's slow start.
 	Cold time.Duration
 }
--- a/coordination/executor/answer.go
+++ b/coordination/executor/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/propagator"
@@ -15,6 +16,9 @@
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
 	metadata, err := r.readAnswer(response)
 	r.executor.recordLoad(metadata)
+	if err == nil && metadata.HasNotice {
+		r.executor.recordNotice(&r.backend, metadata.Notice, "an answer with status "+strconv.Itoa(response.StatusCode))
+	}
 	if err == nil && !metadata.NotRun {
 		return r.wrapResponse(ctx, response), nil
 	}
--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -44,7 +44,7 @@
 		}),
 		Admitter: admitter.New(limiter.NewFixed(64), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
-		Contract: parser.New(), CountCheck: func() {}, Report: report,
+		Contract: parser.New(), CountCheck: func() {}, CountArrival: func() {}, Report: report,
 	})
 	t.Cleanup(e.Close)
 	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: b.Address(), Incarnation: 1, Slots: 64, Connections: 64})
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -30,6 +30,7 @@
 	pendingCrash     *pendingCrash
 	loadReport       loadReport
 	health           healthState
+	notice           eelgrasspoint.ServerNotice
 }
 
 // Options are the dependencies of an Executor.
@@ -45,6 +46,8 @@
 	TellsLoad bool
 	// CountCheck is called for each health check.
 	CountCheck func()
+	// CountArrival is called for each request that is sent to the backend server.
+	CountArrival func()
 	// Report sends a crash to the other exit nodes of the service. It may be nil.
 	Report func(Crash)
 }
@@ -97,6 +100,7 @@
 		e.options.Admitter.Reset(int(backend.Slots))
 		e.loadReport = loadReport{}
 		e.health.answeredAt = time.Time{}
+		e.notice = eelgrasspoint.ServerNotice{}
 		e.replaceTransport(backend)
 		e.confirmCrash()
 	}
--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -73,7 +73,7 @@
 	e := executor.New(executor.Options{
 		Holder: h, Admitter: admitter.NewWithReportedLoad(limiter.NewFixed(4), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
-		Contract: loadContract{parser.New()}, TellsLoad: true, CountCheck: func() {},
+		Contract: loadContract{parser.New()}, TellsLoad: true, CountCheck: func() {}, CountArrival: func() {},
 	})
 	t.Cleanup(e.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(httpServer.URL, "http://"))
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -162,6 +162,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	health, err := e.checkCurrentBackend(ctx, path)
+	if err == nil {
+		e.recordHealthNotice(health.Notice)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.health.inProgress = nil
--- a/coordination/executor/panic_test.go
+++ b/coordination/executor/panic_test.go
@@ -43,7 +43,7 @@
 		}),
 		Admitter: admitter.New(limiter.NewFixed(4), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
-		Contract: panickingContract{parser.New()}, CountCheck: func() {},
+		Contract: panickingContract{parser.New()}, CountCheck: func() {}, CountArrival: func() {},
 	})
 	defer e.Close()
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -83,6 +83,9 @@
 	}
 	writtenAfter, counted := dialer.BytesPassedToWrite(r.conn)
 	notSent := counted && writtenAfter == writtenBefore
+	if !notSent {
+		r.executor.options.CountArrival()
+	}
 	switch {
 	case notSent && err == nil:
 		// The answer came before the request, so it belongs to no request.
--- a/event.go
+++ b/event.go
@@ -51,6 +51,9 @@
 	EventHandlerPanicked
 	EventServerError
 	EventConfigurationNotFetched
+	EventBackendLimited
+	EventBackendUnlimited
+	EventBackendLeaving
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/event_string.go
+++ b/event_string.go
@@ -50,11 +50,14 @@
 	_ = x[EventHandlerPanicked-39]
 	_ = x[EventServerError-40]
 	_ = x[EventConfigurationNotFetched-41]
+	_ = x[EventBackendLimited-42]
+	_ = x[EventBackendUnlimited-43]
+	_ = x[EventBackendLeaving-44]
 }
 
-const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUpAnswerCutShortHandlerPanickedServerErrorConfigurationNotFetched"
+const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUpAnswerCutShortHandlerPanickedServerErrorConfigurationNotFetchedBackendLimitedBackendUnlimitedBackendLeaving"
 
-var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474, 488, 503, 514, 537}
+var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474, 488, 503, 514, 537, 551, 567, 581}
 
 func (i EventNumber) String() string {
 	idx := int(i) - 0
--- a/protocol/parser/contract.go
+++ b/protocol/parser/contract.go
@@ -44,8 +44,25 @@
 
 // ReadAnswer implements eelgrasspoint.Contract. In this contract, backend servers set no headers that prove
 // whether a request was executed or report load.
-func (Parser) ReadAnswer(*http.Response, *eelgrasspoint.RequestMetadata) (eelgrasspoint.AnswerMetadata, error) {
-	return eelgrasspoint.AnswerMetadata{}, nil
+func (Parser) ReadAnswer(response *http.Response, _ *eelgrasspoint.RequestMetadata) (eelgrasspoint.AnswerMetadata, error) {
+	notice := ReadNotice(response.Header, eelgrasspoint.HeaderRateLimit, eelgrasspoint.HeaderLeaving)
+	return eelgrasspoint.AnswerMetadata{HasNotice: true, Notice: notice}, nil
+}
+
+// ReadNotice reads the headers with the names: the limit, in requests per second, and whether the server leaves ("1").
+func ReadNotice(header http.Header, limitName, leavingName string) eelgrasspoint.ServerNotice {
+	notice := eelgrasspoint.ServerNotice{Leaving: header.Get(leavingName) == "1"}
+	text := header.Get(limitName)
+	if text == "" {
+		return notice
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		notice.Invalid = text
+		return notice
+	}
+	notice.Limited, notice.RateLimit = true, rate
+	return notice
 }
 
 // WriteAnswer implements eelgrasspoint.Contract.
@@ -61,5 +78,8 @@
 
 // ReadHealth implements eelgrasspoint.Contract. Only status 200 is healthy.
 func (Parser) ReadHealth(response *http.Response) eelgrasspoint.Health {
-	return eelgrasspoint.Health{Healthy: response.StatusCode == http.StatusOK}
+	return eelgrasspoint.Health{
+		Healthy: response.StatusCode == http.StatusOK,
+		Notice:  ReadNotice(response.Header, eelgrasspoint.HeaderRateLimit, eelgrasspoint.HeaderLeaving),
+	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -120,7 +120,7 @@
 	r.controlDialer = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
-	r.meter = meter.New(meter.Source{Load: r.load, Revision: r.revision, Members: r.nodeCount, ControlBytes: r.controlDialer.Bytes})
+	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, ControlBytes: r.controlDialer.Bytes})
 	r.linkBudget = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
 	r.measuringBudget = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
 	r.buildDataPlane()
@@ -197,6 +197,8 @@
 
 func (r *Runner) load() eelgrasspoint.Load { return r.executor.Load() }
 
+func (r *Runner) notice() eelgrasspoint.ServerNotice { return r.executor.Notice() }
+
 func (r *Runner) revision() uint64 { return r.holder.Load().Configuration.Revision }
 
 func (r *Runner) nodeCount() int { return r.holder.Load().Nodes }
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,7 @@
 	storeCalls            *prometheus.CounterVec
 	exchangeMessages      *prometheus.CounterVec
 	healthChecks          prometheus.Counter
+	arrivals              prometheus.Counter
 	cutShort              *prometheus.CounterVec
 	panics                *prometheus.CounterVec
 }
@@ -31,6 +33,8 @@
 type Source struct {
 	// Load returns the load of the backend server beside the node.
 	Load func() eelgrasspoint.Load
+	// Notice returns what the backend server beside the node last said about itself.
+	Notice func() eelgrasspoint.ServerNotice
 	// Revision returns the revision of the configuration in force.
 	Revision func() uint64
 	// Members returns the number of nodes known to be alive, including the node itself.
@@ -63,9 +67,12 @@
 	m.healthChecks = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "health_checks_total", Help: "Health checks sent to the backend server beside the node.",
 	})
+	m.arrivals = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "backend_requests_total", Help: "Requests sent to the backend server beside the node, without health checks.",
+	})
 	m.cutShort = newCounterVec("answers_cut_short_total", "Answers of which the caller got only a part, by service and the side whose connection failed: server or caller.", "service", "side")
 	m.panics = newCounterVec("handler_panics_total", "Panics in the handlers of requests, by server.", "server")
-	m.registry.MustRegister(m.cutShort, m.panics, m.healthChecks, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
+	m.registry.MustRegister(m.cutShort, m.panics, m.healthChecks, m.arrivals, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerSourceMetrics(source)
 	return m
@@ -123,6 +130,9 @@
 // CountHealthCheck counts a health check of the backend server beside the node.
 func (m *Meter) CountHealthCheck() { m.healthChecks.Inc() }
 
+// CountArrival counts a request that is sent to the backend server beside the node.
+func (m *Meter) CountArrival() { m.arrivals.Inc() }
+
 // CountExchange counts a message that the node sends to another node.
 func (m *Meter) CountExchange(kind string) { m.exchangeMessages.WithLabelValues(kind).Inc() }
 
@@ -133,6 +143,12 @@
 	gauge("backend_in_use", "Requests that the backend server beside the node is running.", func() float64 { return float64(source.Load().InUse) })
 	gauge("backend_limit", "Concurrency limit of the backend server beside the node.", func() float64 { return float64(source.Load().Limit) })
 	gauge("backend_queued", "Requests queued for the backend server beside the node.", func() float64 { return float64(source.Load().Queued) })
+	gauge("backend_rate_limit", "Requests per second that the backend server beside the node takes from all nodes together, as it says, or +Inf.", func() float64 {
+		if notice := source.Notice(); notice.Limited {
+			return notice.RateLimit
+		}
+		return math.Inf(1)
+	})
 	gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(source.Revision()) })
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "exchange_bytes_total",
--- a/state/meter/meter_test.go
+++ b/state/meter/meter_test.go
@@ -18,7 +18,8 @@
 	documentation, err := os.ReadFile("../../docs/METRICS.md")
 	assert.NilError(t, err)
 	m := meter.New(meter.Source{
-		Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Revision: func() uint64 { return 1 },
+		Notice: func() eelgrasspoint.ServerNotice { return eelgrasspoint.ServerNotice{} },
+		Load:   func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Revision: func() uint64 { return 1 },
 		Members: func() int { return 1 }, ControlBytes: func() (int64, int64) { return 1, 1 },
 	})
 	m.ObserveRequest("s", eelgrasspoint.Answered, time.Millisecond)
