A backend server gets no more requests than the limit that it names

Cause: no such function; admission knew slots, slow start and reported slowness only.

Change: every request to a server passes the node beside it, so that node holds the rate for all nodes, without any exchange: a token bucket at the limit of the last answer or health check, with a quarter of a second as burst. A request that it does not admit is refused at once as not run (RateLimited), with the time until the next token, before any health check; what waits in the queue stays within the limit, too. The limit ends with an answer without it or with the server's incarnation; at a limit near 0 one request every 2 s and a health check each half second at the most learn that.

TestParseNames checks all reasons now, not only those up to SlowServer.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -29,6 +29,7 @@
 	startTimes  time.Duration
 	epoch       time.Time
 	coldLimiter coldLimiter
+	rateLimiter rateLimiter
 	saturation  saturationDetector
 }
 
@@ -84,13 +85,14 @@
 	return cold, !givenUpBefore && a.saturation.lastSlotsSlow()
 }
 
-// Reset discards the estimates for a new incarnation of the backend server with the given slots.
+// Reset discards the estimates and the rate limit for a new incarnation of the backend server with the given slots.
 func (a *Admitter) Reset(slots int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.Reset(slots)
 	a.latency = latencyEstimate{}
 	a.saturation = saturationDetector{}
+	a.rateLimiter.clear()
 	a.admitWaiting()
 }
 
@@ -122,6 +124,7 @@
 		Queued: uint32(a.queue.Len()),
 
 		Expected: a.latency.expected(a.meanAge(now), now),
+		Pause:    a.rateLimiter.pause(now),
 	}
 }
 
@@ -141,6 +144,9 @@
 	if !a.coldLimiter.allows(now) {
 		return nil, time.Time{}, a.coldLimiter.refusal(now)
 	}
+	if err := a.rateLimiter.refusal(now); err != nil {
+		return nil, time.Time{}, err
+	}
 	if !meta.Insists && !a.loadReported && a.latency.isSlow(age, now) {
 		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
@@ -175,6 +181,7 @@
 func (a *Admitter) takeSlot(now time.Time) {
 	a.inUse++
 	a.coldLimiter.record(now)
+	a.rateLimiter.record(now)
 	a.startTimes += now.Sub(a.epoch)
 }
 
@@ -229,7 +236,7 @@
 // that have less than half the recent latency left until their deadline.
 func (a *Admitter) admitWaiting() {
 	now := a.clock()
-	for a.queue.Len() > 0 && a.inUse < a.concurrencyLimit(true) && a.coldLimiter.allows(now) {
+	for a.queue.Len() > 0 && a.inUse < a.concurrencyLimit(true) && a.coldLimiter.allows(now) && a.rateLimiter.pause(now) == 0 {
 		w := a.queue.pop()
 		if !w.deadline.IsZero() && now.Add(a.latency.recent/2).After(w.deadline) {
 			w.decision <- eelgrasspoint.DeadlinePassed
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -173,6 +173,11 @@
 	if err := e.checkAllowed(&attempt.Meta); err != nil {
 		return nil, err
 	}
+	if err := e.options.Admitter.CheckRate(); err != nil {
+		// A health check before each refusal would be a further load, but one now and then may show that the limit has ended.
+		e.checkHealthNowAndThen()
+		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
+	}
 	if e.tooSlow(ctx, attempt.Meta.Insists) {
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
 	}
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -125,6 +125,24 @@
 	return e.health.answeredAt.IsZero()
 }
 
+// checkHealthNowAndThen starts a health check if the last answered one is older than maxHealthAge.
+func (e *Executor) checkHealthNowAndThen() {
+	path := e.healthPath()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if path != "" && e.options.Clock().Sub(e.health.answeredAt) > maxHealthAge {
+		e.startHealthCheck(path)
+	}
+}
+
+// startHealthCheck starts a health check unless one is in progress. The caller holds the lock.
+func (e *Executor) startHealthCheck(path string) {
+	if e.health.inProgress == nil {
+		e.health.inProgress = make(chan struct{})
+		go e.updateHealth(path, e.health.inProgress)
+	}
+}
+
 // refreshHealth returns nil if the last load report is at most maxLoadReportAge old, and the last answered
 // health check at most maxHealthAge. Otherwise it starts a health check, unless one is in progress, and
 // returns a channel that is closed at the end of the health check.
@@ -135,10 +153,7 @@
 	if e.hasFreshLoadReport() && now.Sub(e.health.answeredAt) <= maxHealthAge {
 		return nil
 	}
-	if e.health.inProgress == nil {
-		e.health.inProgress = make(chan struct{})
-		go e.updateHealth(path, e.health.inProgress)
-	}
+	e.startHealthCheck(path)
 	return e.health.inProgress
 }
 
--- a/coordination/executor/notice.go
+++ b/coordination/executor/notice.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// replaceNotice stores the notice and returns the one before. It reports false for another backend server than the
+// replaceNotice stores the notice, puts its limit in force and returns the notice before. It reports false for another backend server than the
 // announced one.
 func (e *Executor) replaceNotice(backend *eelgrasspoint.BackendServer, notice eelgrasspoint.ServerNotice) (previous eelgrasspoint.ServerNotice, current bool) {
 	e.mu.Lock()
@@ -47,6 +47,11 @@
 		return eelgrasspoint.ServerNotice{}, false
 	}
 	previous, e.notice = e.notice, notice
+	if notice.Limited {
+		e.options.Admitter.SetRateLimit(notice.RateLimit)
+	} else {
+		e.options.Admitter.ClearRateLimit()
+	}
 	return previous, true
 }
 
--- a/event_test.go
+++ b/event_test.go
@@ -28,9 +28,9 @@
 }
 
 // TestParseNames checks that ParseReason and ParseOutcome recognize the names that nodes send to each
-// other: those of the reasons up to SlowServer and of all outcomes.
+// other.
 func TestParseNames(t *testing.T) {
-	for r := eelgrasspoint.NoReason; r <= eelgrasspoint.SlowServer; r++ {
+	for r := eelgrasspoint.NoReason; r <= eelgrasspoint.RateLimited; r++ {
 		assert.Equal(t, eelgrasspoint.ParseReason(r.String()), r)
 	}
 	for o := eelgrasspoint.Answered; o <= eelgrasspoint.MayHaveRun; o++ {
--- a/member.go
+++ b/member.go
@@ -73,6 +73,9 @@
 	Expected time.Duration
 	// Slowness is the current service time as a multiple of the usual one, or zero if unknown.
 	Slowness float64
+	// Pause is the time until the backend server takes another request, by the limit that it names, or zero if it
+	// takes one now.
+	Pause time.Duration
 }
 
 // ServerStats holds one node's statistics of a backend server. It is safe for concurrent use.
--- a/outcome.go
+++ b/outcome.go
@@ -64,6 +64,10 @@
 	MalformedAnswer
 	// InternalError means that a handler of the node panicked; the request may have run.
 	InternalError
+	// RateLimited means that the backend server has got as many requests as it says that it takes.
+	RateLimited
+	// reasonCount is the number of reasons.
+	reasonCount
 )
 
 // AttemptState is the progress of an attempt.
@@ -117,7 +121,7 @@
 // server.
 func (r Reason) ServerNotReached() bool {
 	switch r {
-	case SlowServer, Overloaded, ColdServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
+	case SlowServer, Overloaded, ColdServer, RateLimited, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
 		return true
 	default:
 		return false
@@ -126,7 +130,7 @@
 
 // ParseReason returns the reason with the name, or NoReason.
 func ParseReason(name string) Reason {
-	for r := NoReason; r <= InternalError; r++ {
+	for r := NoReason; r < reasonCount; r++ {
 		if r.String() == name {
 			return r
 		}
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -57,11 +57,13 @@
 	_ = x[RejectedByServer-26]
 	_ = x[MalformedAnswer-27]
 	_ = x[InternalError-28]
+	_ = x[RateLimited-29]
+	_ = x[reasonCount-30]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalError"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalErrorRateLimitedreasonCount"
 
-var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315, 326, 337}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
