Entry nodes leave out a backend server that takes no request for now

With the limit held by the exit node alone, entry nodes sent attempts to servers that were known to refuse them, and callers of a service whose servers are all limited got the Retry-After of any refusal.

Now the load hint carries the time until the server takes another request, the chooser leaves the server out until then, and the refusal tells the caller that time, or 0.1 s if it is less, since others wait, too. When nothing else is left, one attempt gets the exact refusal; no further one is made.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -79,11 +79,17 @@
 	if c.Region == requirements.Region || !requirements.SpillAllowed {
 		return false
 	}
-	return !c.Gauge.Ejected(now) && hasRoom(c, now)
+	return !c.Gauge.Ejected(now) && !paused(c, now) && hasRoom(c, now)
 }
 
 func localHealthy(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
-	return c.Region == requirements.Region && !c.Gauge.Ejected(now)
+	return c.Region == requirements.Region && !c.Gauge.Ejected(now) && !paused(c, now)
+}
+
+// paused reports whether the candidate takes no request yet, by its last load hint.
+func paused(c *eelgrasspoint.Candidate, now time.Time) bool {
+	load, at := c.Gauge.Load()
+	return now.Sub(at) < load.Pause
 }
 
 // localOrSpill accepts candidates in this node's region, and in other regions if requests may spill over.
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -55,6 +55,20 @@
 	assert.Equal(t, countChoices(list, noSpill)[local], 1000, "a request must stay in its region when SpillAllowed is not set")
 }
 
+// TestPausedServerIsLeftOut guards against attempts at a backend server that is known to take no request for now.
+func TestPausedServerIsLeftOut(t *testing.T) {
+	paused, full := newCandidate("here", "a"), newCandidate("here", "b")
+	paused.Gauge.SetLoad(eelgrasspoint.Load{Limit: 10, Pause: 50 * time.Millisecond}, now.Add(-40*time.Millisecond))
+	full.Gauge.SetLoad(eelgrasspoint.Load{InUse: 10, Limit: 10, Queued: 10}, now)
+	list := []*eelgrasspoint.Candidate{paused, full}
+	requirements := newRequirements(&eelgrasspoint.RequestMetadata{})
+	assert.Equal(t, countChoices(list, requirements)[full], 1000)
+	requirements.Tried = []*eelgrasspoint.Candidate{full}
+	assert.Equal(t, countChoices(list, requirements)[nil], 1000, "the refusal is known")
+	paused.Gauge.SetLoad(eelgrasspoint.Load{Limit: 10, Pause: 50 * time.Millisecond}, now.Add(-50*time.Millisecond))
+	assert.Equal(t, countChoices(list, requirements)[paused], 1000, "the pause is over")
+}
+
 func TestHighLatencyAndFailingServersAvoided(t *testing.T) {
 	good, highLatency, failing := newCandidate("here", "a"), newCandidate("here", "a"), newCandidate("here", "a")
 	good.Gauge.ObserveLatency(10*time.Millisecond, now)
--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -110,6 +110,10 @@
 	if err != nil {
 		stats.End(start)
 		outcome := eelgrasspoint.AsOutcome(err)
+		if outcome.Reason == eelgrasspoint.RateLimited && answer != nil {
+			// Others wait for the next request that the server takes, too.
+			outcome.RetryAfter = max(answer.Load.Pause, eelgrasspoint.BusyRetryAfter)
+		}
 		if !outcome.Reason.ServerNotReached() || outcome.Outcome != eelgrasspoint.NotRun {
 			p.deliveredAttempts.Add(1)
 		}
--- a/protocol/propagator/propagator.go
+++ b/protocol/propagator/propagator.go
@@ -135,8 +135,8 @@
 const slownessScale = 100
 
 // WriteLoad sets the load hint of an answer and returns the bytes of the header's name and value. The value
-// holds slots in use, limit, queue length, expected service time in milliseconds and, if known, slowness in
-// percent, separated by slashes.
+// holds slots in use, limit, queue length, expected service time in milliseconds and, as far as they are not zero,
+// slowness in percent and the pause in milliseconds, rounded up, separated by slashes.
 func WriteLoad(header http.Header, load eelgrasspoint.Load) int {
 	b := make([]byte, 0, 16)
 	b = strconv.AppendUint(b, uint64(load.InUse), 10)
@@ -146,10 +146,14 @@
 	b = strconv.AppendUint(b, uint64(load.Queued), 10)
 	b = append(b, '/')
 	b = strconv.AppendInt(b, load.Expected.Milliseconds(), 10)
-	if load.Slowness > 0 {
+	if load.Slowness > 0 || load.Pause > 0 {
 		b = append(b, '/')
 		b = strconv.AppendInt(b, int64(load.Slowness*slownessScale), 10)
 	}
+	if load.Pause > 0 {
+		b = append(b, '/')
+		b = strconv.AppendInt(b, (load.Pause + time.Millisecond - 1).Milliseconds(), 10)
+	}
 	header[eelgrasspoint.HeaderLoad] = []string{string(b)}
 	return len(eelgrasspoint.HeaderLoad) + len(b)
 }
@@ -157,10 +161,10 @@
 // ReadLoad returns the load hint of an answer and whether there was a valid one.
 func ReadLoad(header http.Header) (eelgrasspoint.Load, bool) {
 	parts := strings.Split(header.Get(eelgrasspoint.HeaderLoad), "/")
-	if len(parts) != 4 && len(parts) != 5 {
+	var numbers [6]uint32
+	if len(parts) < 4 || len(parts) > len(numbers) {
 		return eelgrasspoint.Load{}, false
 	}
-	var numbers [5]uint32
 	for i, part := range parts {
 		n, err := strconv.ParseUint(part, 10, 32)
 		if err != nil {
@@ -172,5 +176,6 @@
 		InUse: numbers[0], Limit: numbers[1], Queued: numbers[2],
 		Expected: time.Duration(numbers[3]) * time.Millisecond,
 		Slowness: float64(numbers[4]) / slownessScale,
+		Pause:    time.Duration(numbers[5]) * time.Millisecond,
 	}, true
 }
--- a/protocol/propagator/propagator_test.go
+++ b/protocol/propagator/propagator_test.go
@@ -41,6 +41,15 @@
 	assert.DeepEqual(t, got, load)
 }
 
+// TestLoadHintKeepsPause guards against entry nodes that send to a backend server which takes no request for now.
+func TestLoadHintKeepsPause(t *testing.T) {
+	header := http.Header{}
+	propagator.WriteLoad(header, eelgrasspoint.Load{InUse: 3, Limit: 13, Pause: 80*time.Millisecond - 1})
+	got, ok := propagator.ReadLoad(header)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, eelgrasspoint.Load{InUse: 3, Limit: 13, Pause: 80 * time.Millisecond})
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("r", "3", "feed", "1s", "1", "3/13/0/20")
 	f.Fuzz(func(t *testing.T, route, depth, fingerprint, timeout, attempt, load string) {
