A backend server whose answers say that it leaves gets no more requests

A server that leaves and whose announcement does not arrive, or that still announces itself as ready, got requests until it was gone; the users' pages bind a node by the answers that it has passed on.

Change: the exit node, which every request passes, marks such a server as draining, like an announcement that says so: it is closed at once, waiting requests are refused as not run, and the other nodes hear of it as of any drain. It holds for the lifetime of the server, or, if that can't be told from others, until its next announcement. Answers of another server (421, another request's identifier) and of an earlier incarnation change nothing; a health check speaks for the server that it was sent to.

--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -24,7 +24,7 @@
 		if a.ID != "" {
 			backend.Incarnation = c.lifetime.incarnation
 		}
-		backend.Draining = backend.Draining || c.lifetime.draining
+		backend.Draining = backend.Draining || c.lifetime.draining || c.lifetime.leaving
 		a.Backend = &backend
 	}
 	if a.Cold > 0 && c.options.SetCold != nil {
@@ -52,6 +52,25 @@
 	c.setBackend(a.Backend)
 }
 
+// MarkLeaving marks the announced backend server as draining, since its answers say that it leaves. It has no effect if
+// another one is announced by now. It holds for the whole lifetime, or, if that can't be identified, until the next
+// announcement.
+type MarkLeaving struct{ Backend eelgrasspoint.BackendServer }
+
+func (m MarkLeaving) apply(c *Controller) {
+	backend := c.self.BackendServer
+	if backend == nil || backend.Incarnation != m.Backend.Incarnation || backend.Address != m.Backend.Address || backend.ID != m.Backend.ID {
+		return
+	}
+	c.lifetime.leaving = backend.ID != "" || backend.Incarnation != 0
+	if backend.Draining {
+		return
+	}
+	draining := *backend
+	draining.Draining = true
+	c.setBackend(&draining)
+}
+
 // MergeMembers merges member entries received from another node or the table service. An entry that
 // does not supersede the stored one is ignored, as is one of an unknown member that left or failed.
 // A received entry of this node is refuted if it supersedes the node's own entry.
--- a/coordination/controller/lifetime.go
+++ b/coordination/controller/lifetime.go
@@ -20,6 +20,9 @@
 	// draining is set once a lifetime with an ID announced that it is draining; it stays set until
 	// another lifetime begins.
 	draining bool
+	// leaving is set once an answer of a lifetime with an ID or an incarnation said that it leaves; it stays set until
+	// another lifetime begins.
+	leaving bool
 	// deregistered is set by a deregistration of the current lifetime. Later announcements of that
 	// lifetime are ignored if it has an ID or an incarnation.
 	deregistered bool
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -133,3 +133,34 @@
 		}
 	})
 }
+
+// TestLeavingLastsForTheLifetime guards against a backend server that is ready again although its answers said that it
+// leaves, and against one that is not ready because an earlier lifetime left.
+func TestLeavingLastsForTheLifetime(t *testing.T) {
+	cases := []struct {
+		name                    string
+		first, leaving, last    eelgrasspoint.Announcement
+		draining, drainingAtEnd bool
+	}{
+		{"announces itself again", registration("a", 5, 1, false), registration("a", 5, 1, false), registration("a", 5, 2, false), true, true},
+		{"announces itself again, without ID", registration("", 5, 0, false), registration("", 5, 0, false), registration("", 5, 0, false), true, true},
+		{"another lifetime begins", registration("a", 5, 1, false), registration("a", 5, 1, false), registration("a", 7, 1, false), true, false},
+		{"an earlier lifetime leaves", registration("a", 7, 1, false), registration("a", 5, 1, false), registration("a", 7, 2, false), false, false},
+		{"without an identity, until the next announcement", registration("", 0, 0, false), registration("", 0, 0, false), registration("", 0, 0, false), true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode()
+			go n.Run(t.Context())
+			for _, a := range []eelgrasspoint.Announcement{c.first, c.leaving, c.last} {
+				a.Backend.Incarnation = a.Incarnation
+			}
+			n.announce(c.first)
+			n.Submit(controller.MarkLeaving{Backend: *c.leaving.Backend})
+			n.WaitApplied()
+			assert.Equal(t, n.backend.Draining, c.draining)
+			n.announce(c.last)
+			assert.Equal(t, n.backend.Draining, c.drainingAtEnd)
+		})
+	}
+}
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -48,6 +48,8 @@
 	CountCheck func()
 	// CountArrival is called for each request that is sent to the backend server.
 	CountArrival func()
+	// Leaving is called when an answer of the announced backend server says that it leaves; it is optional.
+	Leaving func(backend eelgrasspoint.BackendServer)
 	// Report sends a crash to the other exit nodes of the service. It may be nil.
 	Report func(Crash)
 }
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -176,9 +176,12 @@
 func (e *Executor) updateHealth(path string, done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
-	health, err := e.checkCurrentBackend(ctx, path)
+	e.mu.Lock()
+	backend, transport := e.backend, e.transport
+	e.mu.Unlock()
+	health, err := e.checkBackend(ctx, backend, transport, path)
 	if err == nil {
-		e.recordHealthNotice(health.Notice)
+		e.recordNotice(backend, health.Notice, "a health check")
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -197,11 +200,8 @@
 	}
 }
 
-// checkCurrentBackend sends a health check to the announced backend server over its pooled connections.
-func (e *Executor) checkCurrentBackend(ctx context.Context, path string) (eelgrasspoint.Health, error) {
-	e.mu.Lock()
-	backend, transport := e.backend, e.transport
-	e.mu.Unlock()
+// checkBackend sends a health check to a backend server, nil if there is none, over its pooled connections.
+func (e *Executor) checkBackend(ctx context.Context, backend *eelgrasspoint.BackendServer, transport *http.Transport, path string) (eelgrasspoint.Health, error) {
 	if backend == nil {
 		return eelgrasspoint.Health{}, eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
 	}
--- a/coordination/executor/notice.go
+++ b/coordination/executor/notice.go
@@ -19,6 +19,9 @@
 	}
 	if notice.Leaving && !previous.Leaving {
 		e.record(eelgrasspoint.EventBackendLeaving, backend.Service, backend.Address.String()+", in "+where)
+		if e.options.Leaving != nil {
+			e.options.Leaving(*backend)
+		}
 	}
 	switch {
 	case notice.Limited && (!previous.Limited || notice.RateLimit != previous.RateLimit):
@@ -28,16 +31,6 @@
 	}
 }
 
-// recordHealthNotice records the notice of a health check of the announced backend server.
-func (e *Executor) recordHealthNotice(notice eelgrasspoint.ServerNotice) {
-	e.mu.Lock()
-	backend := e.backend
-	e.mu.Unlock()
-	if backend != nil {
-		e.recordNotice(backend, notice, "a health check")
-	}
-}
-
 // replaceNotice stores the notice, puts its limit in force and returns the notice before. It reports false for another backend server than the
 // announced one.
 func (e *Executor) replaceNotice(backend *eelgrasspoint.BackendServer, notice eelgrasspoint.ServerNotice) (previous eelgrasspoint.ServerNotice, current bool) {
--- a/runner/build.go
+++ b/runner/build.go
@@ -45,7 +45,7 @@
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantiner, Recorder: r.recorder,
 		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
-		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.CountHealthCheck, CountArrival: r.meter.CountArrival,
+		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.CountHealthCheck, CountArrival: r.meter.CountArrival, Leaving: r.markLeaving,
 	})
 	r.peers = dispatcher.New(r.options.Dial, r.settings.Region, clock)
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -212,6 +212,11 @@
 	r.controller.Submit(controller.ApplyAnnouncement{Announcement: announcement})
 }
 
+// markLeaving submits that the answers of the backend server say that it leaves.
+func (r *Runner) markLeaving(backend eelgrasspoint.BackendServer) {
+	r.controller.Submit(controller.MarkLeaving{Backend: backend})
+}
+
 func (r *Runner) reportCrash(crash executor.Crash) {
 	reporter.New(r.controller, r.controlClient).Report(crash)
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -46,6 +46,11 @@
 	FailFast bool
 	// Drop makes the backend server close the connection without an answer after it has run a request.
 	Drop bool
+	// RateLimit, unless zero, is the number of requests per second that the backend server names as its limit in its
+	// answers.
+	RateLimit float64
+	// Leaving makes the backend server say in its answers that it is about to end.
+	Leaving bool
 	// TruncateAfter, unless zero, is the number of bytes after which every answer is cut off.
 	TruncateAfter int
 }
@@ -139,6 +144,7 @@
 	if behavior.Drop {
 		panic(http.ErrAbortHandler)
 	}
+	behavior.writeNotice(w.Header())
 	w.Header().Set("Standin-Service", b.service)
 	w.Header().Set(HeaderEcho, r.Header.Get("Eelgrass-Request-Id"))
 	b.writeResponse(w, r, behavior)
@@ -221,6 +227,16 @@
 	}
 }
 
+// writeNotice sets the headers in which a backend server speaks of itself.
+func (b *Behavior) writeNotice(header http.Header) {
+	if b.RateLimit > 0 {
+		header.Set("Eelgrass-Rate-Limit", strconv.FormatFloat(b.RateLimit, 'f', -1, 64))
+	}
+	if b.Leaving {
+		header.Set("Eelgrass-Leaving", "1")
+	}
+}
+
 func (b *Backend) writeResponse(w http.ResponseWriter, r *http.Request, behavior Behavior) {
 	if behavior.TruncateAfter > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(2*behavior.TruncateAfter))
