Reports of an earlier incarnation do not speak for the backend server

Test: TestHealthOfEarlierIncarnationIsIgnored, before: the admitter is not cold any more though the announcement said so.

--- a/coordination/executor/answer.go
+++ b/coordination/executor/answer.go
@@ -15,7 +15,7 @@
 // or the response can't be that of the request, it finishes the run and returns an error.
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
 	metadata, err := r.readAnswer(response)
-	r.executor.recordLoad(metadata)
+	r.executor.recordLoad(&r.backend, metadata)
 	if err == nil && metadata.HasNotice {
 		r.executor.recordNotice(&r.backend, metadata.Notice, "an answer with status "+strconv.Itoa(response.StatusCode))
 	}
--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -59,6 +59,12 @@
 }
 
 func newExecutor(t *testing.T, s *fakeServer) *executor.Executor {
+	t.Helper()
+	e, _ := newExecutorAndAdmitter(t, s)
+	return e
+}
+
+func newExecutorAndAdmitter(t *testing.T, s *fakeServer) (*executor.Executor, *admitter.Admitter) {
 	t.Helper()
 	httpServer := httptest.NewServer(s)
 	t.Cleanup(httpServer.Close)
@@ -70,15 +76,16 @@
 			Services: []eelgrasspoint.Service{{Name: "s", HealthPath: "/health"}},
 		}},
 	})
+	a := admitter.NewWithReportedLoad(limiter.NewFixed(4), time.Now)
 	e := executor.New(executor.Options{
-		Holder: h, Admitter: admitter.NewWithReportedLoad(limiter.NewFixed(4), time.Now), Quarantiner: quarantiner.New(time.Now),
+		Holder: h, Admitter: a, Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
 		Contract: loadContract{parser.New()}, TellsLoad: true, CountCheck: func() {}, CountArrival: func() {},
 	})
 	t.Cleanup(e.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(httpServer.URL, "http://"))
 	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: address, Incarnation: 1, Slots: 4, Connections: 4})
-	return e
+	return e, a
 }
 
 func newAttempt(insists bool, targetLatency time.Duration) *eelgrasspoint.Attempt {
--- /dev/null
+++ b/coordination/executor/health_test.go
@@ -0,0 +1,46 @@
+package executor_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+)
+
+// TestHealthOfEarlierIncarnationIsIgnored guards against a cold backend server that gets full load, because a health
+// check of the incarnation before it was answered late.
+func TestHealthOfEarlierIncarnationIsIgnored(t *testing.T) {
+	asked, answer := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			close(asked)
+			<-answer
+			w.Header().Set(slownessHeader, "5")
+		}
+	}))
+	defer server.Close()
+	e, a := newExecutorAndAdmitter(t, &fakeServer{})
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	backend := &eelgrasspoint.BackendServer{Service: "s", Address: address, Incarnation: 2, Slots: 4, Connections: 4}
+	e.SetBackend(backend)
+	attempted := make(chan struct{})
+	go func() {
+		defer close(attempted)
+		_, _ = e.RoundTrip(t.Context(), nil, newAttempt(false, time.Second))
+	}()
+	<-asked
+	restarted := *backend
+	restarted.Incarnation++
+	a.SetCold(time.Minute)
+	e.SetBackend(&restarted)
+	close(answer)
+	<-attempted
+	assert.Assert(t, a.Cold())
+	assert.Equal(t, e.Load().Slowness, 0.0)
+}
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -45,13 +45,16 @@
 	answeredAt time.Time
 }
 
-// recordLoad stores the load that the backend server reported with an answer.
-func (e *Executor) recordLoad(metadata eelgrasspoint.AnswerMetadata) {
+// recordLoad stores the load that the backend server reported with an answer, if it is still the announced one.
+func (e *Executor) recordLoad(backend *eelgrasspoint.BackendServer, metadata eelgrasspoint.AnswerMetadata) {
 	if !metadata.HasLoad {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.isCurrent(backend) {
+		return
+	}
 	e.loadReport = loadReport{load: metadata.Load, receivedAt: e.options.Clock()}
 }
 
@@ -187,7 +190,7 @@
 	defer e.mu.Unlock()
 	e.health.inProgress = nil
 	defer close(done)
-	if err != nil {
+	if err != nil || !e.isCurrent(backend) {
 		return
 	}
 	now := e.options.Clock()
--- a/coordination/executor/notice.go
+++ b/coordination/executor/notice.go
@@ -36,7 +36,7 @@
 func (e *Executor) replaceNotice(backend *eelgrasspoint.BackendServer, notice eelgrasspoint.ServerNotice) (previous eelgrasspoint.ServerNotice, current bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.backend == nil || e.backend.Incarnation != backend.Incarnation || e.backend.Address != backend.Address {
+	if !e.isCurrent(backend) {
 		return eelgrasspoint.ServerNotice{}, false
 	}
 	previous, e.notice = e.notice, notice
@@ -48,6 +48,11 @@
 	return previous, true
 }
 
+// isCurrent reports whether the backend server is the announced incarnation. The caller holds the lock.
+func (e *Executor) isCurrent(backend *eelgrasspoint.BackendServer) bool {
+	return e.backend != nil && e.backend.Incarnation == backend.Incarnation && e.backend.Address == backend.Address
+}
+
 // Notice returns what the backend server last said about itself.
 func (e *Executor) Notice() eelgrasspoint.ServerNotice {
 	e.mu.Lock()
