Gossip sends each update to each neighbour until it has it, not for four seconds

Cause: each flush sent all updates of the last 4 s again to both heartbeat targets, each answer sent all of them back, and each update that was learned started a flush to nodes that had it.

Change: package tracker remembers which updates a node has: those that it sent, and those in messages that it answered. What went out in a response counts as sent for a heartbeat interval only, since it may be lost. A flush leaves out targets without anything new; with equal digests a response has no updates. A synchronization, which follows when digests stay different, forgets what the other node had, since it may have restarted.

Tests: TestNoUpdateIsWithheld (any order of changes, lost responses and more updates than a message holds), TestUpdateIsSentUntilItIsAcknowledged, TestNamesWithoutEndAreForgotten.

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/assigner"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
 )
@@ -30,6 +31,10 @@
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
 	Now func() time.Time
+	// Tracker remembers which updates other nodes have.
+	Tracker *tracker.Tracker
+	// Clock is the local clock, by which intervals are measured.
+	Clock eelgrasspoint.Clock
 	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting.
 	StartFetch func(m eelgrasspoint.Member, after uint64)
 	// Events returns the recorded events that match the request.
@@ -58,11 +63,7 @@
 	if request.GetRevision() > view.Revision {
 		e.pullFrom(view, request)
 	}
-	updates := view.UpdatesAt(e.options.Now())
-	if request.GetDigest() != view.Digest {
-		// The sender may have marked this node as failed; the node's own entry refutes that.
-		updates = append([]eelgrasspoint.Member{view.Self}, updates...)
-	}
+	updates := e.updatesFor(view, request)
 	return &schema.ConverseResponse{
 		From:     view.Self.Name,
 		Revision: view.Revision,
@@ -73,8 +74,21 @@
 	}, nil
 }
 
+// updatesFor returns the updates that the sender of the request lacks, as far as this node knows, and this node's own
+// entry: the sender may have marked this node as failed. With equal digests, it lacks none.
+func (e *Exchanger) updatesFor(view *eelgrasspoint.MembershipView, request *schema.ConverseRequest) []eelgrasspoint.Member {
+	if request.GetDigest() == view.Digest {
+		return nil
+	}
+	now := e.options.Clock()
+	updates := e.options.Tracker.Missing(request.GetFrom(), view.News, now)
+	e.options.Tracker.Sent(request.GetFrom(), updates, now)
+	return append([]eelgrasspoint.Member{view.Self}, updates...)
+}
+
 func (e *Exchanger) mergeMembers(request *schema.ConverseRequest) {
 	members, invalid := translator.Members(request.GetNews())
+	e.options.Tracker.Acknowledge(request.GetFrom(), members)
 	if invalid > 0 {
 		e.recordBadInput(fmt.Sprintf("ignored %d invalid member entries from %s", invalid, request.GetFrom()))
 	}
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/exchanger"
+	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/state/recorder"
@@ -42,7 +43,7 @@
 	e := exchanger.New(exchanger.Options{
 		Cluster: "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
 		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
-		StartFetch: func(eelgrasspoint.Member, uint64) {},
+		StartFetch: func(eelgrasspoint.Member, uint64) {}, Tracker: tracker.New(), Clock: time.Now,
 	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request schema.ConverseRequest
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -12,6 +12,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
 	"eelgrasspoint/state/meter"
@@ -47,6 +48,8 @@
 	Meter *meter.Meter
 	// Clock is the local clock, by which intervals are measured.
 	Clock eelgrasspoint.Clock
+	// Tracker remembers which updates other nodes have.
+	Tracker *tracker.Tracker
 	// Refreshed is called with the local time after each round of heartbeats if the control state is
 	// fresh.
 	Refreshed func(time.Time)
@@ -63,6 +66,8 @@
 	// node, so messages to it carry that entry.
 	lagging  bool
 	syncedAt time.Time
+	// revision is that of the member's configuration when it last answered.
+	revision uint64
 }
 
 // flushDelay is how long flushAfterDelay waits for further updates.
@@ -90,17 +95,24 @@
 	}
 }
 
-// Flush sends the pending member updates to the heartbeat targets at once and waits for the
+// Flush sends the pending member updates at once to the heartbeat targets that lack some, and waits for the
 // answers.
 func (o *Observer) Flush(ctx context.Context) {
 	view := o.options.Controller.View()
 	var group sync.WaitGroup
 	for _, m := range view.Observed {
-		group.Go(func() { _ = o.sendHeartbeat(ctx, view, m) })
+		if o.hasNews(view, m) {
+			group.Go(func() { _ = o.sendHeartbeat(ctx, view, m) })
+		}
 	}
 	group.Wait()
 }
 
+// hasNews reports whether the member lacks an update or the configuration in force, as far as this node knows.
+func (o *Observer) hasNews(view *eelgrasspoint.MembershipView, m eelgrasspoint.Member) bool {
+	return o.revisionOf(m.Name) < view.Revision || len(o.options.Tracker.Missing(m.Name, view.News, o.options.Clock())) > 0
+}
+
 // flushAfterDelay waits for further updates, then calls Flush.
 func (o *Observer) flushAfterDelay(ctx context.Context) {
 	select {
@@ -144,12 +156,16 @@
 	defer cancel()
 	o.options.Meter.CountExchange("Converse")
 	client := o.client(m)
-	response, err := client.Converse(ctx, o.request(view, m.Name))
+	updates := o.updatesFor(view, m.Name)
+	response, err := client.Converse(ctx, o.request(view, updates))
 	if err != nil {
 		return err
 	}
+	o.options.Tracker.Acknowledge(m.Name, updates)
+	o.setRevision(m.Name, response.GetRevision())
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
 	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
+		o.options.Tracker.Acknowledge(m.Name, members)
 		o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	}
 	if response.GetRevision() > view.Revision {
@@ -158,17 +174,22 @@
 	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
 		// The member fetches the newer configuration only from a node whose entry it has. The second
 		// request carries this node's entry, because the member is now marked as lagging.
-		_, err = client.Converse(ctx, o.request(view, m.Name))
+		_, err = client.Converse(ctx, o.request(view, o.updatesFor(view, m.Name)))
 	}
 	o.compareDigest(ctx, view, m, response)
 	return err
 }
 
-func (o *Observer) request(view *eelgrasspoint.MembershipView, to string) *schema.ConverseRequest {
-	updates := view.UpdatesAt(o.options.Now())
+// updatesFor returns the updates that the member lacks, as far as this node knows.
+func (o *Observer) updatesFor(view *eelgrasspoint.MembershipView, to string) []eelgrasspoint.Member {
+	updates := o.options.Tracker.Missing(to, view.News, o.options.Clock())
 	if o.isLagging(to) {
 		updates = append([]eelgrasspoint.Member{view.Self}, updates...)
 	}
+	return updates
+}
+
+func (o *Observer) request(view *eelgrasspoint.MembershipView, updates []eelgrasspoint.Member) *schema.ConverseRequest {
 	return &schema.ConverseRequest{
 		Cluster:  o.options.Cluster,
 		From:     view.Self.Name,
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -67,3 +67,16 @@
 	defer o.mu.Unlock()
 	return o.peerState(name).lagging
 }
+
+// revisionOf returns the revision that the member had when it last answered, or zero.
+func (o *Observer) revisionOf(name string) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peerState(name).revision
+}
+
+func (o *Observer) setRevision(name string, revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peerState(name).revision = revision
+}
--- a/coordination/observer/synchronization.go
+++ b/coordination/observer/synchronization.go
@@ -59,6 +59,8 @@
 	if err != nil {
 		return false
 	}
+	// What the node lacks is sent again, also if it had it before it restarted.
+	o.options.Tracker.Forget(m.Name)
 	members, _ := translator.Members(response.GetMembers())
 	o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	o.options.Controller.Submit(controller.Rebroadcast{Names: newerThan(assigner.MembersInBuckets(own, response.GetBuckets()), members)})
--- a/runner/build.go
+++ b/runner/build.go
@@ -19,6 +19,7 @@
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/coordination/staggerer"
+	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/registrar"
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
@@ -64,7 +65,9 @@
 	r.fetcher = fetcher.New(fetcher.Options{
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
 	})
+	r.tracker = tracker.New()
 	r.observer = observer.New(observer.Options{
+		Tracker: r.tracker,
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
 		Witness: r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
 	})
@@ -92,6 +95,7 @@
 			Measuring: r.measuringBudget, Count: r.meter.AddMeasuringBytes,
 		})),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
+			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
 			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
 		})),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -26,6 +26,7 @@
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/coordination/staggerer"
+	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/budgeter"
@@ -55,6 +56,7 @@
 	controller      *controller.Controller
 	fetcher         *fetcher.Fetcher
 	observer        *observer.Observer
+	tracker         *tracker.Tracker
 	table           eelgrasspoint.Table
 	source          eelgrasspoint.Source
 	staggerer       *staggerer.Staggerer
