--- a/state/validator/validator.go
+++ b/state/validator/validator.go
@@ -135,10 +135,10 @@
 	if r.Service != "" {
 		v.add(path+".Service", "must be empty if Split is set")
 	}
-	var totalWeight uint32
+	var totalWeight uint64
 	for i, share := range r.Split {
 		v.requireService(fmt.Sprintf("%s.Split[%d].Service", path, i), share.Service)
-		totalWeight += share.Weight
+		totalWeight += uint64(share.Weight)
 	}
 	if totalWeight == 0 {
 		v.add(path+".Split", "must have at least one weight above 0")
