--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -173,11 +173,12 @@
 	}
 	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
 		// The member fetches the newer configuration only from a node whose entry it has. The second
-		// request carries this node's entry, because the member is now marked as lagging.
-		_, err = client.Converse(ctx, o.request(view, o.updatesFor(view, m.Name)))
+		// request carries this node's entry, because the member is now marked as lagging. Without its answer, the
+		// member is not silent: it has answered the first.
+		_, _ = client.Converse(ctx, o.request(view, o.updatesFor(view, m.Name)))
 	}
 	o.compareDigest(ctx, view, m, response)
-	return err
+	return nil
 }
 
 // updatesFor returns the updates that the member lacks, as far as this node knows.
