--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -137,39 +137,6 @@
 	return answer, err
 }
 
-// recordFailure records why an attempt ended without an answer from the backend server. It records
-// nothing outside the request's home regions.
-func (e *Executor) recordFailure(meta *eelgrasspoint.RequestMetadata, outcome *eelgrasspoint.OutcomeError) {
-	snapshot := e.options.Holder.Load()
-	if !meta.Permits(snapshot.Self.Region) {
-		return
-	}
-	number := eelgrasspoint.EventAttemptFailed
-	if outcome.Outcome == eelgrasspoint.NotRun {
-		number = eelgrasspoint.EventAttemptRefused
-	}
-	load := e.Load()
-	report := e.lastLoadReport()
-	inputs := []eelgrasspoint.Input{
-		{Name: "Attempt", Value: meta.Attempt},
-		{Name: "Insists", Value: meta.Insists},
-		{Name: "InUse", Value: load.InUse},
-		{Name: "Limit", Value: load.Limit},
-		{Name: "Queued", Value: load.Queued},
-		{Name: "LeftMilliseconds", Value: eelgrasspoint.Remaining(meta.Deadline, e.options.Clock()).Milliseconds()},
-		{Name: "Revision", Value: snapshot.Configuration.Revision},
-	}
-	if !report.receivedAt.IsZero() {
-		inputs = append(inputs,
-			eelgrasspoint.Input{Name: "Slowness", Value: report.load.Slowness},
-			eelgrasspoint.Input{Name: "AgeMilliseconds", Value: e.options.Clock().Sub(report.receivedAt).Milliseconds()})
-	}
-	e.options.Recorder.Record(eelgrasspoint.Event{
-		Number: number, Service: meta.Service, RequestID: meta.RequestID, Permitted: meta.Permitted,
-		AvailabilityZone: snapshot.Self.AvailabilityZone, Detail: outcome.Error(), Inputs: inputs,
-	})
-}
-
 // roundTrip is RoundTrip without the event that records a failure.
 func (e *Executor) roundTrip(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	if err := e.checkAllowed(&attempt.Meta); err != nil {
@@ -306,34 +273,6 @@
 	}
 }
 
-func (e *Executor) record(number eelgrasspoint.EventNumber, service, detail string) {
-	e.options.Recorder.Record(eelgrasspoint.Event{
-		Number: number, Service: service,
-		AvailabilityZone: e.options.Holder.Load().Self.AvailabilityZone, Detail: detail,
-	})
-}
-
-// replaceTransport makes a transport for the backend server and closes the idle connections to the earlier
-// incarnation.
-func (e *Executor) replaceTransport(backend *eelgrasspoint.BackendServer) {
-	if e.transport != nil {
-		go e.transport.CloseIdleConnections()
-	}
-	e.transport = newTransport(dialer.New(e.options.Dial).DialContext, backend)
-}
-
-func newTransport(dial dialer.Func, backend *eelgrasspoint.BackendServer) *http.Transport {
-	return &http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxConnsPerHost:     int(backend.Connections),
-		MaxIdleConnsPerHost: int(backend.Connections),
-		// A connection that was idle for long may be dead; a new one costs about a millisecond.
-		IdleConnTimeout:        eelgrasspoint.BackendIdleTimeout,
-		MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
-	}
-}
-
 func zoneOutOfService(snapshot *eelgrasspoint.Snapshot) bool {
 	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
 		if zone.Name == snapshot.Self.AvailabilityZone {
