New attempts leave a connection between nodes that answers nothing for 0.3 s

Cause: a connection counts as silent only after 0.7 s without a byte and 1 s without an answer to the ping; until then each new attempt goes there, however many have no answer. Shorter times for the ping were ruled out: each idle connection would be pinged more often.

Change: after 0.3 s without a byte, with three writes or more in that time, later attempts use a new connection.

--- a/standin/proof/silence_test.go
+++ b/standin/proof/silence_test.go
@@ -1,12 +1,15 @@
 package proof
 
 import (
+	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint/standin/backend"
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/standin/simulator"
 )
@@ -47,3 +50,24 @@
 		}
 	})
 }
+
+// TestAttemptsLeaveSilentConnectionSoon guards against requests that all go to a connection between nodes which has fallen
+// silent, until it is known to be dead.
+func TestAttemptsLeaveSilentConnectionSoon(t *testing.T) {
+	const lost, interval = 500 * time.Millisecond, 50 * time.Millisecond
+	withPair(t, backend.Behavior{ServiceTime: 5 * time.Millisecond}, func(t *testing.T, p *pair) {
+		assert.Equal(t, p.sendBooking("warm", nil).outcome, "Answered")
+		p.Network.StallConnectionsAmong([]netip.Addr{p.entry.Host, p.exit.Host})
+		silentSince := time.Now()
+		var sent sync.WaitGroup
+		defer sent.Wait()
+		for i := range 30 {
+			sentAt := time.Since(silentSince)
+			sent.Go(func() {
+				got := p.sendBooking(fmt.Sprint("b", i), nil)
+				assert.Check(t, got.outcome == "Answered" || sentAt < lost, "sent %v after the silence: %+v", sentAt, got)
+			})
+			time.Sleep(interval)
+		}
+	})
+}
--- a/transport/dispatcher/connection.go
+++ b/transport/dispatcher/connection.go
@@ -22,8 +22,11 @@
 	openedAt time.Time
 	// lastRead is the time from openedAt to the last read.
 	lastRead atomic.Int64
-	// unanswered is the number of bytes written since the last read.
+	// unanswered is the number of bytes written since the last read, and writes the number of writes.
 	unanswered atomic.Int64
+	writes     atomic.Int64
+	// waitingSince is the time from openedAt to the first write since the last read.
+	waitingSince atomic.Int64
 
 	mu     sync.Mutex
 	timer  *time.Timer
@@ -41,6 +44,10 @@
 var errSilent = errors.New("the connection to the exit node was silent")
 
 const (
+	// suspectAfter and suspectWrites are how long nothing is read from a connection, and after how many writes, before
+	// new attempts use another one.
+	suspectAfter  = 300 * time.Millisecond
+	suspectWrites = 3
 	// probeInterval is the pause between two probes of the exit node of a silent connection.
 	probeInterval = 250 * time.Millisecond
 	// probeGrace is the time in which a connection that is not dead can still read, after a probe whose
@@ -72,6 +79,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.unanswered.Store(0)
+		c.writes.Store(0)
 		c.lastRead.Store(int64(time.Since(c.openedAt)))
 	}
 	if err != nil && c.isAbandoned() {
@@ -89,9 +97,23 @@
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	c.unanswered.Add(int64(len(p)))
+	if c.isSuspect() {
+		c.dispatcher.renewer.Renew(c.host)
+	}
 	return c.Conn.Write(p)
 }
 
+// isSuspect counts a write and reports whether nothing was read for suspectAfter although there were several writes. The
+// connection may be sound, but a new one for the attempts that follow costs less than the attempts themselves.
+func (c *connection) isSuspect() bool {
+	now := int64(time.Since(c.openedAt))
+	if c.writes.Add(1) == 1 {
+		c.waitingSince.Store(now)
+		return false
+	}
+	return c.writes.Load() >= suspectWrites && time.Duration(now-c.waitingSince.Load()) >= suspectAfter
+}
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.mu.Lock()
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 var _ eelgrasspoint.RoundTripper = (*Dispatcher)(nil)
 
 // New returns a dispatcher for a node in the region. It opens its connections with dial. A connection that
+// receives nothing for suspectAfter although it is written to gets no new attempts. One that
 // receives nothing for PeerPingAfter is pinged. If nothing is received for another PeerPingTimeout, later
 // attempts use a new connection, and the attempts that can be repeated fail; the others wait until the
 // connection is dead or their deadline passes.
