--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +56,9 @@
 	{name: "store", run: disturbStore},
 }
 
+// limitAction is not drawn from actions, see limitsPerSecond.
+var limitAction = action{name: limitName, planned: true, run: limitBackend}
+
 // Rate and duration of the events of a schedule.
 const (
 	// eventsPerSecond is the mean rate of events for up to 12 nodes; above 12 the rate grows in proportion
@@ -84,6 +89,8 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if at >= duration {
+			events = append(events, drawLimits(seed, duration, nodes)...)
+			slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 			return events
 		}
 		e := Event{
@@ -117,8 +124,7 @@
 // runEvent runs the action of one event and, unless it is planned, marks the VM as disturbed meanwhile.
 func (s *Soak) runEvent(e Event) {
 	v := s.vms[e.VM]
-	for i := range actions {
-		a := &actions[i]
+	for _, a := range append([]action{limitAction}, actions...) {
 		if a.name != e.Name {
 			continue
 		}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -41,7 +41,9 @@
 	disturbances []interval
 	// plannedStops last from SIGTERM until the restarted node listens.
 	plannedStops []interval
-	incarnation  uint64
+	// handler is the backend server, and incarnation identifies it.
+	handler     *backend.Backend
+	incarnation uint64
 }
 
 // interval is a period of time. It has not ended while to is zero.
@@ -124,7 +126,7 @@
 		Service: v.service, Address: v.backendLink.Address(), Incarnation: incarnation, Slots: slots, Connections: connections,
 	})
 	v.mu.Lock()
-	v.incarnation = incarnation
+	v.handler, v.incarnation = handler, incarnation
 	v.mu.Unlock()
 	return nil
 }
