--- a/cmd/eelgrassctl/explainer/explainer.go
+++ b/cmd/eelgrassctl/explainer/explainer.go
@@ -101,7 +101,8 @@
 
 // decidingIndex returns the index of the line that explains the outcome: of a failed or refused request the
 // last failed attempt, else the last refused attempt, else the line that records the end; of any other
-// request the line that records the end. If no line records the end, it returns 0.
+// request the line that records the end. Of several attempts that ended alike, it is the first. If no line records
+// the end, it returns 0.
 func (e *Explainer) decidingIndex() int {
 	end := e.lastIndex(finalEvents...)
 	if end < 0 {
@@ -117,11 +118,19 @@
 		attempt = e.lastIndex(eelgrasspoint.EventAttemptRefused)
 	}
 	if attempt >= 0 {
-		return attempt
+		return e.firstLike(attempt)
 	}
 	return end
 }
 
+// firstLike returns the index of the first line with the event and the detail of the line at the index.
+func (e *Explainer) firstLike(index int) int {
+	like := e.lines[index]
+	return slices.IndexFunc(e.lines, func(l line) bool {
+		return l.event == like.event && l.stringField("Detail") == like.stringField("Detail")
+	})
+}
+
 // lastIndex returns the index of the last line with one of the events, or -1.
 func (e *Explainer) lastIndex(events ...eelgrasspoint.EventNumber) int {
 	for i := len(e.lines) - 1; i >= 0; i-- {
