--- a/Makefile
+++ b/Makefile
@@ -67,10 +67,11 @@
 schedules:
 	go test ./standin/proof -run TestSchedules -schedules 10000 -count=1 -timeout 60m
 
-# Runs go test -fuzz . for 20 s in the folder of each file with fuzz tests, until the first failure.
-# go test refuses a package with more than one fuzz test, such as platform.
+# Runs each fuzz test for 20 s, until the first failure.
 fuzz:
-	for f in $$(grep -rl '^func Fuzz' --include=*_test.go . ); do go test ./$$(dirname $$f) -run '^$$' -fuzz . -fuzztime 20s || exit 1; done
+	for f in $$(grep -rl '^func Fuzz' --include=*_test.go . ); do \
+	for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$f); do \
+	go test ./$$(dirname $$f) -run '^$$' -fuzz "^$$name$$" -fuzztime 20s || exit 1; done; done
 
 # Injects random faults into real processes, with new seeds each time.
 soak: build
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -30,13 +30,16 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	options.Bin = bin
-	failed := 0
-	for i := 0; i < seeds && ctx.Err() == nil; i++ {
-		options.Seed = uint64(seed + i)
+	ran, failed := 0, 0
+	for ; ran < seeds && ctx.Err() == nil; ran++ {
+		options.Seed = uint64(seed + ran)
 		failed += runSeed(ctx, options, dir)
 	}
-	fmt.Printf("%d passed, %d failed\n", seeds-failed, failed)
-	if failed > 0 {
+	if ran < seeds {
+		fmt.Printf("interrupted: %d seeds were not run\n", seeds-ran)
+	}
+	fmt.Printf("%d passed, %d failed\n", ran-failed, failed)
+	if failed > 0 || ran < seeds {
 		os.Exit(1) //nolint:gocritic // The deferred stop only ends signal handling.
 	}
 }
