A huge rate limit admits all

On x86-64 the burst of a limit above 2^65 overflowed to 1 (on arm64 it doesn't), so that a server that names such a limit got one request at a time. Limits above 1e6 requests a second have no effect now. Test: TestHugeLimitAdmitsAll; it passes on arm64 before as well, x86-64 was not run here.

--- a/coordination/admitter/rate.go
+++ b/coordination/admitter/rate.go
@@ -13,6 +13,8 @@
 	rateBurstTime = 250 * time.Millisecond
 	// minRate, in requests per second, is admitted at the least, so that an answer can tell that the limit has ended.
 	minRate = 0.5
+	// maxRate, in requests per second, is more than a backend server gets, so that a higher limit has no effect.
+	maxRate = 1e6
 	// maxRatePause bounds the pause that a refused caller is told, since the limit may end before.
 	maxRatePause = time.Second
 )
@@ -25,7 +27,7 @@
 
 // set sets the requests per second. The tokens of a limit that only changes are kept.
 func (r *rateLimiter) set(now time.Time, perSecond float64) {
-	limit := rate.Limit(max(perSecond, minRate))
+	limit := rate.Limit(min(max(perSecond, minRate), maxRate))
 	burst := max(1, int(float64(limit)*rateBurstTime.Seconds()))
 	switch {
 	case r.tokens == nil:
--- a/coordination/admitter/rate_test.go
+++ b/coordination/admitter/rate_test.go
@@ -103,3 +103,12 @@
 		}
 	})
 }
+
+// TestHugeLimitAdmitsAll guards against a limit that overflows into a small one.
+func TestHugeLimitAdmitsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.NewWithReportedLoad(limiter.NewFixed(200), time.Now)
+		a.SetRateLimit(1e99)
+		fillSlots(t, a, 100)
+	})
+}
