A health check speaks for the backend server that it was sent to

Another server that has the address by now could say in a health check that it leaves or is in need, and the announced one got no requests. An identifier in the response that is not the announced one makes its notice void.

Test: TestHealthOfAnotherServerIsNoNotice, before: the own server counts as leaving.

--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -25,15 +25,21 @@
 	"eelgrasspoint/state/recorder"
 )
 
-// slownessHeader is the header in which the backend servers of these tests report their slowness.
-const slownessHeader = "Slowness"
+// Headers in which the backend servers of these tests report their slowness and, to health checks, their identifier.
+const (
+	slownessHeader = "Slowness"
+	idHeader       = "Id"
+)
 
 // loadContract is the contract of package parser, with backend servers that report their load.
 type loadContract struct{ eelgrasspoint.Contract }
 
-func (loadContract) ReadHealth(response *http.Response) eelgrasspoint.Health {
+func (c loadContract) ReadHealth(response *http.Response) eelgrasspoint.Health {
 	slowness, _ := strconv.ParseFloat(response.Header.Get(slownessHeader), 64)
-	return eelgrasspoint.Health{Healthy: true, HasLoad: true, Load: eelgrasspoint.ServerLoad{Slots: 4, Slowness: slowness}}
+	return eelgrasspoint.Health{
+		Healthy: true, HasLoad: true, Load: eelgrasspoint.ServerLoad{Slots: 4, Slowness: slowness},
+		ID: response.Header.Get(idHeader), Notice: c.Contract.ReadHealth(response).Notice,
+	}
 }
 
 // fakeServer is a backend server that reports itself slow in its first health checks.
--- a/coordination/executor/health.go
+++ b/coordination/executor/health.go
@@ -93,7 +93,7 @@
 	backend, transport := e.backend, e.transport
 	e.mu.Unlock()
 	health, err := e.checkBackend(ctx, backend, transport, path)
-	if err == nil {
+	if err == nil && answeredBy(backend, health) {
 		e.recordNotice(backend, health.Notice, "a health check")
 	}
 	e.mu.Lock()
@@ -113,6 +113,11 @@
 	}
 }
 
+// answeredBy reports whether the health check was not answered by another backend server that has the address now.
+func answeredBy(backend *eelgrasspoint.BackendServer, health eelgrasspoint.Health) bool {
+	return health.ID == "" || backend.ID == "" || health.ID == backend.ID
+}
+
 // checkBackend sends a health check to a backend server, nil if there is none, over its pooled connections.
 func (e *Executor) checkBackend(ctx context.Context, backend *eelgrasspoint.BackendServer, transport *http.Transport, path string) (eelgrasspoint.Health, error) {
 	if backend == nil {
--- a/coordination/executor/health_test.go
+++ b/coordination/executor/health_test.go
@@ -44,3 +44,29 @@
 	assert.Assert(t, a.Cold())
 	assert.Equal(t, e.Load().Slowness, 0.0)
 }
+
+// TestHealthOfAnotherServerIsNoNotice guards against a backend server that gets no requests, because another one that has
+// its address now says in a health check that it leaves.
+func TestHealthOfAnotherServerIsNoNotice(t *testing.T) {
+	for id, leaving := range map[string]bool{"other": false, "own": true} {
+		running, end := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/health" {
+				close(running)
+				<-end
+				return
+			}
+			w.Header().Set(idHeader, id)
+			w.Header().Set(eelgrasspoint.HeaderLeaving, "1")
+		}))
+		defer server.Close()
+		e := newExecutor(t, &fakeServer{})
+		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+		e.SetBackend(&eelgrasspoint.BackendServer{ID: "own", Service: "s", Address: address, Incarnation: 2, Slots: 4, Connections: 4})
+		go func() { _, _ = e.RoundTrip(t.Context(), nil, newAttempt(false, time.Second)) }()
+		<-running
+		got := e.Notice().Leaving
+		close(end)
+		assert.Equal(t, got, leaving, id)
+	}
+}
