--- a/coordination/executor/events.go
+++ b/coordination/executor/events.go
@@ -1,8 +1,6 @@
 package executor
 
-import (
-	"eelgrasspoint"
-)
+import "eelgrasspoint"
 
 // recordFailure records why an attempt ended without an answer from the backend server. It records
 // nothing outside the request's home regions.
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -144,7 +144,7 @@
 	}
 	if err := e.options.Admitter.CheckRate(); err != nil {
 		// A health check before each refusal would be a further load, but one now and then may show that the limit has ended.
-		e.checkHealthNowAndThen()
+		e.checkHealthIfOld()
 		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
 	}
 	if e.tooSlow(ctx, attempt.Meta.Insists) {
--- a/coordination/executor/health.go
+++ b/coordination/executor/health.go
@@ -38,8 +38,8 @@
 	return e.health.answeredAt.IsZero()
 }
 
-// checkHealthNowAndThen starts a health check if the last answered one is older than maxHealthAge.
-func (e *Executor) checkHealthNowAndThen() {
+// checkHealthIfOld starts a health check if the last answered one is older than maxHealthAge.
+func (e *Executor) checkHealthIfOld() {
 	path := e.healthPath()
 	e.mu.Lock()
 	defer e.mu.Unlock()
