A route that a node can't read leaves the others in service; downloads

Cause: one rule with a kind that the program doesn't know rejected the document. On a fresh start that takes the deployment out of service, in operation it freezes the last one, and in a rolling update old and new nodes part. Change: rules and clusters are decoded one by one. An unknown kind is served, at most once a request; a rule with a mistake refuses its requests as not run (RouteUnreadable), so that they don't match a shorter prefix; a document in which nothing can be read leaves the last valid one in force. What a node does depends on the document alone. Between two versions the one that reads more decides (receiver, ReplaceConfiguration). "download" is idempotent.

--- a/cmd/eelgrassctl/show.go
+++ b/cmd/eelgrassctl/show.go
@@ -102,6 +102,21 @@
 	s.printTable(zoneRows(response))
 	fmt.Fprintln(s.out)
 	s.printTable(nodeRows(response))
+	return s.printRefusedRoutes(ctx)
+}
+
+// printRefusedRoutes prints the routes whose requests the node refuses, since it can't read their definition.
+func (s *session) printRefusedRoutes(ctx context.Context) int {
+	response, err := s.client.Get(ctx, &schema.GetRequest{})
+	if err != nil {
+		return s.fail(err)
+	}
+	document := translator.Document(response.GetConfiguration())
+	for i := range document.Routes {
+		if route := &document.Routes[i]; route.Refuses() {
+			s.printLine("route %s (%s%s) is refused: the node can't read its definition, see the event DefinitionUnread", route.Name, route.Host, route.PathPrefix)
+		}
+	}
 	return exitOK
 }
 
--- a/configuration.go
+++ b/configuration.go
@@ -64,6 +64,9 @@
 	Split []Share
 }
 
+// Refuses reports whether the route refuses all its requests, since its definition can't be read. It has no service.
+func (r *Route) Refuses() bool { return r.Service == "" && len(r.Split) == 0 }
+
 // Allows reports whether the route may send requests to the service.
 func (r *Route) Allows(service string) bool {
 	if len(r.Split) == 0 {
@@ -114,6 +117,17 @@
 	Budgets           []Budget
 }
 
+// RefusedRoutes returns the number of routes that refuse all their requests.
+func (d *Document) RefusedRoutes() int {
+	refused := 0
+	for i := range d.Routes {
+		if d.Routes[i].Refuses() {
+			refused++
+		}
+	}
+	return refused
+}
+
 // Service returns the definition of a service, or the zero value if it is not defined.
 func (d *Document) Service(name string) Service {
 	for _, service := range d.Services {
--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -153,15 +153,25 @@
 
 func (RotateRemoteTargets) apply(c *Controller) { c.remoteOffset++ }
 
-// ReplaceConfiguration puts a whole configuration in force if its revision is higher than the one
-// in force.
+// ReplaceConfiguration puts a whole configuration in force if its revision is higher than the one in force, or if it
+// is the same one and this node reads more of it than the node that sent it.
 type ReplaceConfiguration struct{ Configuration eelgrasspoint.Configuration }
 
 func (r ReplaceConfiguration) apply(c *Controller) {
-	if r.Configuration.Revision <= c.configuration.Revision {
-		return
+	if r.Configuration.Revision > c.configuration.Revision || r.readsMore(c.configuration) {
+		c.setConfiguration(r.Configuration)
+	}
+}
+
+// readsMore reports whether this node itself read the revision in force from the table service, but has it from
+// another node, which understood it differently. An earlier version of the program may not read all of it.
+func (r ReplaceConfiguration) readsMore(inForce *eelgrasspoint.Configuration) bool {
+	origin := r.Configuration.Provenance.Origin
+	if origin != eelgrasspoint.StoreFeed && origin != eelgrasspoint.StoreScan {
+		return false
 	}
-	c.setConfiguration(r.Configuration)
+	return r.Configuration.Revision > 0 && r.Configuration.Revision == inForce.Revision &&
+		inForce.Provenance.Origin == eelgrasspoint.OtherNode && r.Configuration.Document.Digest() != inForce.Document.Digest()
 }
 
 // Rebroadcast gossips known members again, for example those that another node lacks.
@@ -175,8 +185,8 @@
 	}
 }
 
-// setConfiguration puts a configuration in force. The caller ensures that its revision is higher than the one
-// in force.
+// setConfiguration puts a configuration in force. The caller ensures that its revision is not below the one in
+// force.
 func (c *Controller) setConfiguration(configuration eelgrasspoint.Configuration) {
 	previous := c.zonesOutOfService()
 	c.configuration = &configuration
--- a/coordination/forwarder/entry_test.go
+++ b/coordination/forwarder/entry_test.go
@@ -115,7 +115,7 @@
 		Holder: e.holder, Chooser: e, Retrier: retrier.New(retrier.DefaultLimits()),
 		Link: budgeter.New(eelgrasspoint.LinkBytesPerSecond, time.Now), Peers: e, Local: e,
 		Meter: meter.New(meter.Source{
-			Load: noLoad, Revision: func() uint64 { return 0 }, Members: func() int { return 0 },
+			Load: noLoad, Revision: func() uint64 { return 0 }, Members: func() int { return 0 }, RefusedRoutes: func() int { return 0 },
 			ControlBytes: func() (int64, int64) { return 0, 0 },
 		}),
 		Recorder: e, Clock: time.Now, Random: eelgrasspoint.NewRandom(1), MaxBodyBytes: 1 << 20,
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -40,8 +40,8 @@
 	attempts int
 	// deliveredAttempts counts the attempts that may have reached a backend server; events name it Arrivals.
 	deliveredAttempts atomic.Int32
-	// overloaded are the candidates that refused the request because of their load (SlowServer or
-	// Overloaded).
+	// overloaded are the candidates that refused the request because of their load (SlowServer, Overloaded,
+	// ColdServer or HangingServer).
 	overloaded []*eelgrasspoint.Candidate
 	// queueRequested is set when the overloaded candidates become eligible again, at most once; from then
 	// on exit nodes are asked to queue the request rather than to refuse it.
@@ -65,6 +65,9 @@
 	if p.matchedRoute == nil {
 		return eelgrasspoint.Refuse(eelgrasspoint.NoRoute, "")
 	}
+	if p.matchedRoute.Refuses() {
+		return eelgrasspoint.Refuse(eelgrasspoint.RouteUnreadable, "")
+	}
 	p.meta.SetRoute(p.matchedRoute)
 	p.meta.Revision = p.snapshot.Configuration.Revision
 	if len(p.matchedRoute.Split) > 0 {
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -35,7 +35,9 @@
 }
 
 func (r *Router) add(route *eelgrasspoint.Route) {
-	r.byName[route.Name] = route
+	if !route.Refuses() || r.byName[route.Name] == nil {
+		r.byName[route.Name] = route
+	}
 	segments := r.byHost[route.Host]
 	if segments == nil {
 		segments = make(map[string][]*eelgrasspoint.Route)
--- a/errors.go
+++ b/errors.go
@@ -167,9 +167,19 @@
 type InvalidError struct{ Mistakes []Mistake }
 
 // Error implements error.
-func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Mistakes))
-	for i, m := range e.Mistakes {
+func (e *InvalidError) Error() string { return joinMistakes(e.Mistakes) }
+
+// UnreadError holds the definitions of a configuration that this version can't read, or reads only in part. The
+// configuration is in force without them.
+type UnreadError struct{ Mistakes []Mistake }
+
+// Error implements error.
+func (e *UnreadError) Error() string { return joinMistakes(e.Mistakes) }
+
+// joinMistakes returns the mistakes as text, one a line.
+func joinMistakes(mistakes []Mistake) string {
+	lines := make([]string, len(mistakes))
+	for i, m := range mistakes {
 		lines[i] = m.Path + ": " + m.Message
 	}
 	return strings.Join(lines, "\n")
--- a/event.go
+++ b/event.go
@@ -54,6 +54,9 @@
 	EventBackendLimited
 	EventBackendUnlimited
 	EventBackendLeaving
+	EventDefinitionUnread
+	EventBackendHangs
+	EventBackendAnswersAgain
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/outcome.go
+++ b/outcome.go
@@ -66,6 +66,10 @@
 	InternalError
 	// RateLimited means that the backend server has got as many requests as it says that it takes.
 	RateLimited
+	// RouteUnreadable means that the node can't read the definition of the request's route.
+	RouteUnreadable
+	// HangingServer means that the backend server lately gave no answer to too many requests.
+	HangingServer
 	// reasonCount is the number of reasons.
 	reasonCount
 )
@@ -110,7 +114,7 @@
 func (r Reason) Permanent() bool {
 	switch r {
 	case NoRoute, WrongRegion, BadHeader, HeaderTooLarge, BodyTooLarge, BodyCutShort,
-		TooDeep, Quarantined, DeadlinePassed, Canceled:
+		TooDeep, Quarantined, DeadlinePassed, Canceled, RouteUnreadable:
 		return true
 	default:
 		return false
@@ -121,7 +125,7 @@
 // server.
 func (r Reason) ServerNotReached() bool {
 	switch r {
-	case SlowServer, Overloaded, ColdServer, RateLimited, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
+	case SlowServer, Overloaded, ColdServer, RateLimited, HangingServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
 		return true
 	default:
 		return false
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -58,12 +58,14 @@
 	_ = x[MalformedAnswer-27]
 	_ = x[InternalError-28]
 	_ = x[RateLimited-29]
-	_ = x[reasonCount-30]
+	_ = x[RouteUnreadable-30]
+	_ = x[HangingServer-31]
+	_ = x[reasonCount-32]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalErrorRateLimitedreasonCount"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalErrorRateLimitedRouteUnreadableHangingServerreasonCount"
 
-var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315, 326, 337}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315, 326, 341, 354, 365}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/protocol/responder/responder.go
+++ b/protocol/responder/responder.go
@@ -21,7 +21,7 @@
 // retryAfter returns the pause in Retry-After for a reason if the error sets none.
 func retryAfter(reason eelgrasspoint.Reason) time.Duration {
 	switch reason {
-	case eelgrasspoint.Overloaded, eelgrasspoint.SlowServer, eelgrasspoint.RejectedByServer:
+	case eelgrasspoint.Overloaded, eelgrasspoint.HangingServer, eelgrasspoint.SlowServer, eelgrasspoint.RejectedByServer:
 		return eelgrasspoint.BusyRetryAfter
 	default:
 		return eelgrasspoint.DefaultRetryAfter
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -122,7 +122,7 @@
 	r.controlDialer = dialer.New(options.Dial)
 	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
-	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, ControlBytes: r.controlDialer.Bytes})
+	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, RefusedRoutes: r.refusedRoutes, ControlBytes: r.controlDialer.Bytes})
 	r.linkBudget = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
 	r.measuringBudget = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
 	r.buildDataPlane()
@@ -205,6 +205,8 @@
 
 func (r *Runner) nodeCount() int { return r.holder.Load().Nodes }
 
+func (r *Runner) refusedRoutes() int { return r.holder.Load().Configuration.Document.RefusedRoutes() }
+
 // announce submits an announcement of the registrar; nil means that the backend server left.
 func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
 	announcement := eelgrasspoint.Announcement{Backend: backend}
--- a/runner/source.go
+++ b/runner/source.go
@@ -65,7 +65,10 @@
 	for ctx.Err() == nil {
 		configuration, err := r.source.Next(ctx)
 		var invalid *eelgrasspoint.InvalidError
+		var unread *eelgrasspoint.UnreadError
 		switch {
+		case errors.As(err, &unread):
+			r.record(eelgrasspoint.EventDefinitionUnread, unread.Error())
 		case errors.As(err, &invalid):
 			r.record(eelgrasspoint.EventBadInput, "invalid configuration: "+invalid.Error())
 			// No continue: the configuration returned with the error may contain changes of other rows.
@@ -77,7 +80,7 @@
 		}
 		backoff = minSourceBackoff
 		r.recordStoreBack()
-		if configuration.Revision > r.revision() {
+		if configuration.Revision > 0 && configuration.Revision >= r.revision() {
 			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
 			r.controller.WaitApplied()
 		}
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -37,6 +37,8 @@
 	Notice func() eelgrasspoint.ServerNotice
 	// Revision returns the revision of the configuration in force.
 	Revision func() uint64
+	// RefusedRoutes returns the number of routes whose requests are refused, since the node can't read their definition.
+	RefusedRoutes func() int
 	// Members returns the number of nodes known to be alive, including the node itself.
 	Members func() int
 	// ControlBytes returns the bytes on the connections that the node opened to other nodes for
@@ -150,6 +152,7 @@
 		return math.Inf(1)
 	})
 	gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(source.Revision()) })
+	gauge("refused_routes", "Routes in force whose requests are refused, since the node can't read their definition.", func() float64 { return float64(source.RefusedRoutes()) })
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "exchange_bytes_total",
 		Help: "Bytes read and written on the connections that the node opened to other nodes for control messages, not for requests.",
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -135,7 +135,8 @@
 	case eelgrasspoint.EventBackendCrashed, eelgrasspoint.EventMemberFailed, eelgrasspoint.EventStoreDown,
 		eelgrasspoint.EventChangeUnknown, eelgrasspoint.EventRequestQuarantined, eelgrasspoint.EventIsolationSuspected,
 		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent,
-		eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked, eelgrasspoint.EventServerError:
+		eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked, eelgrasspoint.EventServerError,
+		eelgrasspoint.EventDefinitionUnread, eelgrasspoint.EventBackendHangs:
 		return logrus.WarnLevel
 	default:
 		return logrus.InfoLevel
--- a/state/validator/validator.go
+++ b/state/validator/validator.go
@@ -93,9 +93,10 @@
 	}
 }
 
-func (v *Validator) requireHomeRegions(path string, names []string) {
+// requireHomeRegions checks home regions. prefix is the path of their owner with a dot, or empty.
+func (v *Validator) requireHomeRegions(prefix string, names []string) {
 	for i, name := range names {
-		v.requireRegion(fmt.Sprintf("%s.HomeRegions[%d]", path, i), name)
+		v.requireRegion(fmt.Sprintf("%sHomeRegions[%d]", prefix, i), name)
 	}
 }
 
@@ -106,42 +107,56 @@
 }
 
 func (v *Validator) checkRoute(r *eelgrasspoint.Route) {
-	path := fmt.Sprintf("Routes[%s]", r.Name)
+	path := fmt.Sprintf("Routes[%s].", r.Name)
+	for _, m := range Route(v.document, r) {
+		v.add(path+m.Path, "%s", m.Message)
+	}
+}
+
+// Route returns the validation errors of one route with the regions and services of the document, without those of
+// its name. Their paths begin at the route.
+func Route(document *eelgrasspoint.Document, r *eelgrasspoint.Route) []eelgrasspoint.Mistake {
+	v := &Validator{document: document}
+	v.checkRouteFields(r)
+	return v.mistakes
+}
+
+func (v *Validator) checkRouteFields(r *eelgrasspoint.Route) {
 	if !strings.HasPrefix(r.PathPrefix, "/") {
-		v.add(path+".PathPrefix", "%q does not begin with /", r.PathPrefix)
+		v.add("PathPrefix", "%q does not begin with /", r.PathPrefix)
 	}
 	for i, method := range r.Methods {
 		if !methodPattern.MatchString(method) {
-			v.add(fmt.Sprintf("%s.Methods[%d]", path, i), "%q is not an HTTP method in capital letters, such as GET", method)
+			v.add(fmt.Sprintf("Methods[%d]", i), "%q is not an HTTP method in capital letters, such as GET", method)
 		}
 	}
-	v.checkRouteServices(path, r)
+	v.checkRouteServices(r)
 	if r.TimeLimit < 0 || r.TimeLimit > eelgrasspoint.MaxTimeLimit {
-		v.add(path+".TimeLimit", "%v is not between 0s and %v", r.TimeLimit, eelgrasspoint.MaxTimeLimit)
+		v.add("TimeLimit", "%v is not between 0s and %v", r.TimeLimit, eelgrasspoint.MaxTimeLimit)
 	}
 	if r.Hedge && !r.Idempotent {
-		v.add(path+".Hedge", "requires Idempotent to be true, since a hedged request may run twice")
+		v.add("Hedge", "requires Idempotent to be true, since a hedged request may run twice")
 	}
-	v.requireHomeRegions(path, r.HomeRegions)
+	v.requireHomeRegions("", r.HomeRegions)
 }
 
 // checkRouteServices checks that a route has either one service or a split between services by
 // weight.
-func (v *Validator) checkRouteServices(path string, r *eelgrasspoint.Route) {
+func (v *Validator) checkRouteServices(r *eelgrasspoint.Route) {
 	if len(r.Split) == 0 {
-		v.requireService(path+".Service", r.Service)
+		v.requireService("Service", r.Service)
 		return
 	}
 	if r.Service != "" {
-		v.add(path+".Service", "must be empty if Split is set")
+		v.add("Service", "must be empty if Split is set")
 	}
 	var totalWeight uint64
 	for i, share := range r.Split {
-		v.requireService(fmt.Sprintf("%s.Split[%d].Service", path, i), share.Service)
+		v.requireService(fmt.Sprintf("Split[%d].Service", i), share.Service)
 		totalWeight += uint64(share.Weight)
 	}
 	if totalWeight == 0 {
-		v.add(path+".Split", "must have at least one weight above 0")
+		v.add("Split", "must have at least one weight above 0")
 	}
 }
 
@@ -153,7 +168,7 @@
 
 func (v *Validator) checkClients() {
 	for _, client := range v.document.Clients {
-		v.requireHomeRegions(fmt.Sprintf("Clients[%s]", client.Name), client.HomeRegions)
+		v.requireHomeRegions(fmt.Sprintf("Clients[%s].", client.Name), client.HomeRegions)
 	}
 }
 
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -114,8 +114,9 @@
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.NotReady, "no configuration yet")
 	}
 	region := snapshot.Self.Region
-	if received.Revision > snapshot.Configuration.Revision {
-		// The entry node uses a later revision, so only the home regions that it sent can be checked.
+	if received.Revision > snapshot.Configuration.Revision || unreadableHere(snapshot, received.Route, received.Revision) {
+		// The entry node uses a later revision, or could read more of this one, so only the home regions that it
+		// sent can be checked.
 		if !meta.Permits(region) {
 			return meta, eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 		}
@@ -138,6 +139,13 @@
 	return meta, nil
 }
 
+// unreadableHere reports whether the entry node used the revision of this node, but only this node can't read the
+// route, as between two versions of the program.
+func unreadableHere(snapshot *eelgrasspoint.Snapshot, name string, revision uint64) bool {
+	route := snapshot.Router.Route(name)
+	return route != nil && route.Refuses() && revision == snapshot.Configuration.Revision
+}
+
 func (r *Receiver) attempt(request *http.Request, meta *eelgrasspoint.RequestMetadata) *eelgrasspoint.Attempt {
 	propagator.Strip(request.Header)
 	request.Header.Del("Expect")
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -38,6 +38,7 @@
 		{Name: "moved", PathPrefix: "/m", Service: "new"},
 		{Name: "split", PathPrefix: "/s", Split: []eelgrasspoint.Share{{Service: "old", Weight: 1}, {Service: "new", Weight: 0}}},
 		{Name: "home", PathPrefix: "/h", Service: "old", HomeRegions: []string{"elsewhere"}},
+		{Name: "unreadable", PathPrefix: "/u"},
 	}}
 	cases := []struct {
 		name             string
@@ -55,6 +56,9 @@
 		{"earlier revision, service with weight zero", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "new", Revision: 4}, eelgrasspoint.StaleRoute, false},
 		{"earlier revision, service still served by the route", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "old", Revision: 4}, eelgrasspoint.Overloaded, true},
 		{"earlier revision, route since bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "home", Service: "old", Revision: 4}, eelgrasspoint.WrongRegion, false},
+		{"same revision, route that only the entry node can read", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 5}, eelgrasspoint.Overloaded, true},
+		{"same revision, such a route bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 5, Permitted: []string{"elsewhere"}}, eelgrasspoint.WrongRegion, false},
+		{"earlier revision, route that can't be read any more", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 4}, eelgrasspoint.StaleRoute, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
