Cold servers are used from the start, and requests wait there for their turn

Cause: a process that has just started admitted nothing to a cold server for one second, as its predecessor might have used up the rate; the refusals came at once, and entry nodes learned of them one server at a time. Change: the cold rate is paced by tokens. A process begins without tokens: whatever its predecessor sent, both together keep the bound of any second, and nothing has to stand still. Requests with Insists wait for their turn by weight, up to half of their objective, and are refused at once if it would come later. The load hint tells the pause; entry nodes choose the shortest one, and send a request with Insists if all servers pause.

--- a/constants.go
+++ b/constants.go
@@ -166,6 +166,8 @@
 	MaxQueueWaitRatio = 0.15
 	// DefaultMaxQueueWait applies to requests without a target latency.
 	DefaultMaxQueueWait = 120 * time.Millisecond
+	// MaxColdWaitRatio is the same while the backend server is in its slow start.
+	MaxColdWaitRatio = 0.5
 	// MaxSlowWaitRatio is the fraction of its target latency that a request may wait while the backend
 	// server is slow.
 	MaxSlowWaitRatio = 0.65
--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -29,6 +29,8 @@
 	startTimes  time.Duration
 	epoch       time.Time
 	coldLimiter coldLimiter
+	// coldTimer admits queued requests when a cold backend server may get the next one; nil if it is not set.
+	coldTimer   *time.Timer
 	rateLimiter rateLimiter
 	saturation  saturationDetector
 }
@@ -43,7 +45,6 @@
 func NewWithReportedLoad(limiter eelgrasspoint.Limiter, clock eelgrasspoint.Clock) *Admitter {
 	a := New(limiter, clock)
 	a.loadReported = true
-	a.coldLimiter.historyUnknownUntil = clock().Add(coldWindow)
 	return a
 }
 
@@ -55,7 +56,7 @@
 	if w == nil || err != nil {
 		return admittedAt, err
 	}
-	timer := time.NewTimer(a.queueTimeout(meta))
+	timer := time.NewTimer(w.timeout(a.clock()))
 	defer timer.Stop()
 	select {
 	case reason := <-w.decision:
@@ -124,7 +125,7 @@
 		Queued: uint32(a.queue.Len()),
 
 		Expected: a.latency.expected(a.meanAge(now), now),
-		Pause:    a.rateLimiter.pause(now),
+		Pause:    max(a.rateLimiter.pause(now), a.coldLimiter.pause(now, a.queue.Len())),
 	}
 }
 
@@ -141,8 +142,9 @@
 	if age > 0 {
 		a.limiter.ObserveInFlight(age, now)
 	}
-	if !a.coldLimiter.allows(now) {
-		return nil, time.Time{}, a.coldLimiter.refusal(now)
+	coldPause := a.coldLimiter.pause(now, a.queue.Len())
+	if coldPause > 0 && !meta.Insists {
+		return nil, time.Time{}, a.coldLimiter.refusal(coldPause)
 	}
 	if err := a.rateLimiter.refusal(now); err != nil {
 		return nil, time.Time{}, err
@@ -150,14 +152,17 @@
 	if !meta.Insists && !a.loadReported && a.latency.isSlow(age, now) {
 		return nil, time.Time{}, refusal(eelgrasspoint.SlowServer)
 	}
-	if a.queue.Len() == 0 && a.inUse < a.concurrencyLimit(meta.Insists) {
+	if a.queue.Len() == 0 && coldPause == 0 && a.inUse < a.concurrencyLimit(meta.Insists) {
 		a.takeSlot(now)
 		return nil, now, nil
 	}
 	if a.loadReported && !meta.Insists {
 		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
-	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, maxWait: maxQueueWait(meta), decision: make(chan eelgrasspoint.Reason, 1)}
+	w := &waiter{weight: meta.Weight, deadline: meta.Deadline, maxWait: a.maxWait(meta, now), decision: make(chan eelgrasspoint.Reason, 1)}
+	if pause := a.coldLimiter.pause(now, a.queue.countBefore(w)); pause > w.maxWait {
+		return nil, time.Time{}, a.coldLimiter.refusal(pause)
+	}
 	if !a.canFinishInTime(w) {
 		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
@@ -165,9 +170,24 @@
 		return nil, time.Time{}, refusal(eelgrasspoint.Overloaded)
 	}
 	a.queue.push(w)
+	a.setColdTimer(now)
 	return w, time.Time{}, nil
 }
 
+// setColdTimer sets the timer for the next request that a cold backend server may get, if any waits.
+func (a *Admitter) setColdTimer(now time.Time) {
+	pause := a.coldLimiter.pause(now, 0)
+	if a.coldTimer != nil || a.queue.Len() == 0 || pause == 0 {
+		return
+	}
+	a.coldTimer = time.AfterFunc(pause, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.coldTimer = nil
+		a.admitWaiting()
+	})
+}
+
 // concurrencyLimit returns how many requests may run concurrently: the limit, or only FastSlots of it.
 // If the load is reported, the remainder is reserved for requests with Insists. Once runs in the last
 // slots proved slower, no request uses it.
@@ -236,7 +256,8 @@
 // that have less than half the recent latency left until their deadline.
 func (a *Admitter) admitWaiting() {
 	now := a.clock()
-	for a.queue.Len() > 0 && a.inUse < a.concurrencyLimit(true) && a.coldLimiter.allows(now) && a.rateLimiter.pause(now) == 0 {
+	defer a.setColdTimer(now)
+	for a.queue.Len() > 0 && a.inUse < a.concurrencyLimit(true) && a.coldLimiter.pause(now, 0) == 0 && a.rateLimiter.pause(now) == 0 {
 		w := a.queue.pop()
 		if !w.deadline.IsZero() && now.Add(a.latency.recent/2).After(w.deadline) {
 			w.decision <- eelgrasspoint.DeadlinePassed
@@ -264,20 +285,17 @@
 	return refusal(reason)
 }
 
-// queueTimeout returns how long the request may wait for a slot, at most until its deadline.
-func (a *Admitter) queueTimeout(meta *eelgrasspoint.RequestMetadata) time.Duration {
-	if meta.Deadline.IsZero() {
-		return maxQueueWait(meta)
-	}
-	return min(maxQueueWait(meta), eelgrasspoint.Remaining(meta.Deadline, a.clock()))
-}
-
-// maxQueueWait returns how long a request may wait for a slot, regardless of its deadline.
-func maxQueueWait(meta *eelgrasspoint.RequestMetadata) time.Duration {
+// maxWait returns how long a request may wait for a slot, regardless of its deadline. During a slow start most of
+// the others are cold as well, so that a longer wait is worth more than a refusal.
+func (a *Admitter) maxWait(meta *eelgrasspoint.RequestMetadata, now time.Time) time.Duration {
 	if meta.TargetLatency == 0 {
 		return eelgrasspoint.DefaultMaxQueueWait
 	}
-	return time.Duration(eelgrasspoint.MaxQueueWaitRatio * float64(meta.TargetLatency))
+	ratio := eelgrasspoint.MaxQueueWaitRatio
+	if a.coldLimiter.active(now) {
+		ratio = eelgrasspoint.MaxColdWaitRatio
+	}
+	return time.Duration(ratio * float64(meta.TargetLatency))
 }
 
 // refusal returns the error for a reason, or nil for NoReason.
--- a/coordination/admitter/queue.go
+++ b/coordination/admitter/queue.go
@@ -17,6 +17,14 @@
 	decision chan eelgrasspoint.Reason
 }
 
+// timeout returns how long the request waits at most, not beyond its deadline.
+func (w *waiter) timeout(now time.Time) time.Duration {
+	if w.deadline.IsZero() {
+		return w.maxWait
+	}
+	return min(w.maxWait, eelgrasspoint.Remaining(w.deadline, now))
+}
+
 // queue is ordered by descending weight, then by arrival. It is short, so a slice is fast enough.
 type queue struct{ waiters []*waiter }
 
--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -79,17 +79,16 @@
 	if c.Region == requirements.Region || !requirements.SpillAllowed {
 		return false
 	}
-	return !c.Gauge.Ejected(now) && !paused(c, now) && hasRoom(c, now)
+	return !c.Gauge.Ejected(now) && !paused(c, requirements, now) && hasRoom(c, now)
 }
 
 func localHealthy(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
-	return c.Region == requirements.Region && !c.Gauge.Ejected(now) && !paused(c, now)
+	return c.Region == requirements.Region && !c.Gauge.Ejected(now) && !paused(c, requirements, now)
 }
 
-// paused reports whether the candidate takes no request yet, by its last load hint.
-func paused(c *eelgrasspoint.Candidate, now time.Time) bool {
-	load, at := c.Gauge.Load()
-	return now.Sub(at) < load.Pause
+// paused reports whether the candidate takes no request yet, by its last load hint, and the attempt can't wait there.
+func paused(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
+	return !requirements.Queues && c.Gauge.PauseLeft(now) > 0
 }
 
 // localOrSpill accepts candidates in this node's region, and in other regions if requests may spill over.
@@ -171,7 +170,7 @@
 func expectedLatency(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time, mean time.Duration) float64 {
 	// Requests in flight are half done on average, so twice their mean age is a lower estimate of the
 	// latency. It grows also if the backend server stops answering.
-	base := max(c.Gauge.Latency(now, mean), 2*c.Gauge.MeanAge(now), hintedLatency(c, now, mean)) + distancePenalty(c, requirements)
+	base := max(c.Gauge.Latency(now, mean), 2*c.Gauge.MeanAge(now), hintedLatency(c, now, mean)) + distancePenalty(c, requirements) + c.Gauge.PauseLeft(now)
 	used := utilization(c, now)
 	errorRate := c.Gauge.ErrorRate(now)
 	// The millisecond keeps the factors in effect if no latency is known and base is zero.
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -126,3 +126,18 @@
 		c.Choose(list, requirements, now, random)
 	}
 }
+
+// TestShortestPauseIsChosen guards against an attempt that waits at a cold backend server while another takes it earlier,
+// and against a request that is refused since all of them take it only soon.
+func TestShortestPauseIsChosen(t *testing.T) {
+	short, long := newCandidate("here", "b"), newCandidate("here", "a")
+	short.Gauge.SetLoad(eelgrasspoint.Load{Limit: 10, Pause: 20 * time.Millisecond}, now)
+	long.Gauge.SetLoad(eelgrasspoint.Load{Limit: 10, Pause: 90 * time.Millisecond}, now)
+	list := []*eelgrasspoint.Candidate{long, short}
+	first := newRequirements(&eelgrasspoint.RequestMetadata{})
+	assert.Equal(t, countChoices(list, first)[short], 1000)
+	queued := newRequirements(&eelgrasspoint.RequestMetadata{})
+	queued.Tried, queued.Queues = []*eelgrasspoint.Candidate{newCandidate("here", "a")}, true
+	queued.AvailabilityZone = "c"
+	assert.Equal(t, countChoices(list, queued)[short], 1000)
+}
--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -45,20 +45,21 @@
 		return
 	}
 	switch eelgrasspoint.AsOutcome(result.err).Reason {
-	case eelgrasspoint.SlowServer, eelgrasspoint.Overloaded:
+	case eelgrasspoint.SlowServer, eelgrasspoint.Overloaded, eelgrasspoint.ColdServer, eelgrasspoint.HangingServer:
 		p.overloaded = append(p.overloaded, result.candidate)
 	}
 }
 
 // newAttempt counts a new attempt and returns its metadata. Insists asks the exit node to queue the request
 // rather than to refuse it. Insists is set once queueRequested is set, if queueing costs less than a refusal
-// and another attempt, or if the budget of redirects (attempts after one that reached no backend server) is
+// and another attempt, if the candidate takes no request at the moment, so that no other one does, or if the budget of redirects (attempts after one that reached no backend server) is
 // used up. A refusal would still cause a redirect then, since tryRetry allows redirects without budget.
 func (p *proxiedRequest) newAttempt(candidate *eelgrasspoint.Candidate) eelgrasspoint.RequestMetadata {
 	p.tried = append(p.tried, candidate)
 	meta := p.meta
 	meta.Attempt = p.attempts
-	meta.Insists = p.queueRequested || p.cheaperToQueue(candidate) || !p.forwarder.Retrier.CanWithdraw(p.meta.Service, retrier.Redirect)
+	meta.Insists = p.queueRequested || p.cheaperToQueue(candidate) || candidate.Gauge.PauseLeft(p.forwarder.Clock()) > 0 ||
+		!p.forwarder.Retrier.CanWithdraw(p.meta.Service, retrier.Redirect)
 	p.attempts++
 	meta.Repeatable = p.repeatable()
 	p.forwarder.Meter.CountAttempt(meta.Service, meta.Attempt)
--- a/coordination/forwarder/candidate.go
+++ b/coordination/forwarder/candidate.go
@@ -54,6 +54,7 @@
 		Meta:             &p.meta,
 		Tried:            p.tried,
 		SpillAllowed:     p.spillAllowed(),
+		Queues:           p.queueRequested,
 	}
 	return f.Chooser.Choose(p.snapshot.Candidates[p.meta.Service], requirements, f.Clock(), f.Random)
 }
--- a/member.go
+++ b/member.go
@@ -73,8 +73,8 @@
 	Expected time.Duration
 	// Slowness is the current service time as a multiple of the usual one, or zero if unknown.
 	Slowness float64
-	// Pause is the time until the backend server takes another request, by the limit that it names, or zero if it
-	// takes one now.
+	// Pause is the time until the backend server takes another request, by the limit that it names or in its slow
+	// start, or zero if it takes one now.
 	Pause time.Duration
 }
 
@@ -143,6 +143,12 @@
 	return t.load, t.at
 }
 
+// PauseLeft returns the time until the backend server takes another request, by its last load hint.
+func (s *ServerStats) PauseLeft(now time.Time) time.Duration {
+	load, at := s.Load()
+	return max(load.Pause-now.Sub(at), 0)
+}
+
 // ObserveLatency adds a latency to the moving average.
 func (s *ServerStats) ObserveLatency(latency time.Duration, now time.Time) {
 	s.latencyAt.Store(now.UnixNano())
--- a/request.go
+++ b/request.go
@@ -138,6 +138,9 @@
 	// SpillAllowed permits candidates in other regions, which are reached over the link that is charged
 	// for.
 	SpillAllowed bool
+	// Queues is set if the attempt may wait at its exit node, so that a candidate that takes no request yet is
+	// as good as its pause is short.
+	Queues bool
 }
 
 // Chooser picks the candidate for an attempt, or nil. Implementations do no I/O and take the time
