A hedge without budget may use that of retries, and what it gave up is remembered

Cause: an attempt that hangs never fails, so that it could only be followed by a hedge; once the tokens for hedges were used, requests waited for their deadline with tokens for retries left. And an attempt that was canceled since the other was answered first left no trace in the statistics: its server was chosen again at once.

--- a/coordination/forwarder/hedge.go
+++ b/coordination/forwarder/hedge.go
@@ -13,21 +13,24 @@
 // hedgedAttempt is one of two concurrent attempts of a request.
 type hedgedAttempt struct {
 	attemptResult
-	cancel context.CancelFunc
+	startedAt time.Time
+	cancel    context.CancelFunc
 }
 
 // hedgeLatencyFactor is the multiple of the candidate's smoothed latency after which the second attempt
 // starts.
 const hedgeLatencyFactor = 3
 
-// hedge sends the request to a second candidate if the first has not answered within hedgeDelay. The
-// first answer is returned, or the last error if no attempt is answered; the other attempt is canceled and
-// its answer discarded.
+// hedge sends the request to a second candidate if the first has not answered within hedgeDelay, or, without budget for
+// that, within a multiple of it. The first answer is returned, or the last error if no attempt is answered; the other
+// attempt is canceled and its answer discarded.
 func (p *proxiedRequest) hedge(ctx context.Context, first *eelgrasspoint.Candidate) attemptResult {
 	done := make(chan *hedgedAttempt, 2)
 	running := []*hedgedAttempt{p.startAttempt(ctx, first, done)}
-	timer := time.NewTimer(p.hedgeDelay(first))
+	delay := p.hedgeDelay(first)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
+	purpose := retrier.Hedge
 	for {
 		select {
 		case a := <-done:
@@ -36,26 +39,31 @@
 			if a.err == nil || len(running) == 0 {
 				// The canceled attempts may have reached their backend servers.
 				p.deliveredAttempts.Add(int32(len(running)))
-				cancelRest(running, done)
+				p.cancelRest(running, done)
 				return bindCancel(a.attemptResult, a.cancel)
 			}
 			a.cancel()
 		case <-timer.C:
-			if second := p.hedgeCandidate(len(running)); second != nil {
+			if second := p.hedgeCandidate(len(running), purpose); second != nil {
 				running = append(running, p.startAttempt(ctx, second, done))
+				continue
 			}
+			// An attempt that takes this long is more like one that failed than one that is slow.
+			purpose = retrier.Retry
+			delay *= 2
+			timer.Reset(delay)
 		}
 	}
 }
 
 // hedgeCandidate returns the candidate of the second attempt. It returns nil if there is no other candidate,
-// or if the route's MaxAttempts or the hedging budget doesn't allow another attempt.
-func (p *proxiedRequest) hedgeCandidate(running int) *eelgrasspoint.Candidate {
+// or if the route's MaxAttempts or the budget of the purpose doesn't allow another attempt.
+func (p *proxiedRequest) hedgeCandidate(running int, purpose retrier.Purpose) *eelgrasspoint.Candidate {
 	if maxAttempts := int(p.matchedRoute.MaxAttempts); maxAttempts > 0 && int(p.deliveredAttempts.Load())+running >= maxAttempts {
 		return nil
 	}
 	candidate := p.choose()
-	if candidate == nil || !p.forwarder.Retrier.TryWithdraw(p.meta.Service, retrier.Hedge) {
+	if candidate == nil || !p.forwarder.Retrier.TryWithdraw(p.meta.Service, purpose) {
 		return nil
 	}
 	p.forwarder.Meter.CountHedge(p.meta.Service)
@@ -66,7 +74,7 @@
 func (p *proxiedRequest) startAttempt(ctx context.Context, candidate *eelgrasspoint.Candidate, done chan<- *hedgedAttempt) *hedgedAttempt {
 	ctx, cancel := context.WithDeadline(ctx, p.meta.Deadline)
 	meta := p.newAttempt(candidate)
-	a := &hedgedAttempt{attemptResult: attemptResult{candidate: candidate}, cancel: cancel}
+	a := &hedgedAttempt{attemptResult: attemptResult{candidate: candidate}, startedAt: p.forwarder.Clock(), cancel: cancel}
 	go func() {
 		a.answer, a.err = p.roundTrip(ctx, candidate, meta, p.body.NewSharedReader())
 		done <- a
@@ -103,9 +111,14 @@
 	return b.ReadCloser.Close()
 }
 
-// cancelRest cancels the running attempts and closes the answers that they may still return.
-func cancelRest(running []*hedgedAttempt, done <-chan *hedgedAttempt) {
+// cancelRest cancels the running attempts and closes the answers that they may still return. An attempt without an
+// answer has taken at least the time since its start, which must not be forgotten: its candidate may answer nothing.
+func (p *proxiedRequest) cancelRest(running []*hedgedAttempt, done <-chan *hedgedAttempt) {
+	now := p.forwarder.Clock()
 	for _, a := range running {
+		if waited := now.Sub(a.startedAt); waited > a.candidate.Gauge.SmoothedLatency() {
+			a.candidate.Gauge.ObserveLatency(waited, now)
+		}
 		a.cancel()
 	}
 	go func() {
