Servers that hang are found by the node beside them

Cause: nothing counted runs without an answer. Hedges hid them from the exit node, deadlines ended the others. Change: package detector. A run is overdue after several times the usual duration of its route at that server, by the slowness that it reports; three of them, and a quarter of the recent runs, and the server gets single trials only, requests that can be repeated first; eight answers in a row, or late answers of what seemed to hang, and it is back. The others are refused as not run (HangingServer) and go elsewhere; a request with no other choice is never refused. The event of a lost attempt names server, connection, wait and the load last told.

--- a/coordination/executor/answer.go
+++ b/coordination/executor/answer.go
@@ -14,6 +14,7 @@
 // checkResponse returns the response if it answers the request. If the backend server refused the request,
 // or the response can't be that of the request, it finishes the run and returns an error.
 func (r *run) checkResponse(ctx context.Context, response *http.Response) (*http.Response, error) {
+	r.noteAnswer()
 	metadata, err := r.readAnswer(response)
 	r.executor.recordLoad(&r.backend, metadata)
 	if err == nil && metadata.HasNotice {
@@ -92,7 +93,7 @@
 	case eelgrasspoint.MalformedAnswer:
 		b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
 			Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error(),
-		})
+		}, b.run)
 	}
 }
 
--- a/coordination/executor/events.go
+++ b/coordination/executor/events.go
@@ -3,8 +3,8 @@
 import "eelgrasspoint"
 
 // recordFailure records why an attempt ended without an answer from the backend server. It records
-// nothing outside the request's home regions.
-func (e *Executor) recordFailure(meta *eelgrasspoint.RequestMetadata, outcome *eelgrasspoint.OutcomeError) {
+// nothing outside the request's home regions. r is nil if the attempt was not admitted.
+func (e *Executor) recordFailure(meta *eelgrasspoint.RequestMetadata, outcome *eelgrasspoint.OutcomeError, r *run) {
 	snapshot := e.options.Holder.Load()
 	if !meta.Permits(snapshot.Self.Region) {
 		return
@@ -29,6 +29,9 @@
 			eelgrasspoint.Input{Name: "Slowness", Value: report.load.Slowness},
 			eelgrasspoint.Input{Name: "AgeMilliseconds", Value: e.options.Clock().Sub(report.receivedAt).Milliseconds()})
 	}
+	if r != nil {
+		inputs = append(inputs, r.lostRunInputs()...)
+	}
 	e.options.Recorder.Record(eelgrasspoint.Event{
 		Number: number, Service: meta.Service, RequestID: meta.RequestID, Permitted: meta.Permitted,
 		AvailabilityZone: snapshot.Self.AvailabilityZone, Detail: outcome.Error(), Inputs: inputs,
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -10,6 +10,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/admitter"
+	"eelgrasspoint/coordination/detector"
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/state/holder"
 	"eelgrasspoint/transport/dialer"
@@ -31,6 +32,7 @@
 	loadReport       loadReport
 	health           healthState
 	notice           eelgrasspoint.ServerNotice
+	detector         *detector.Detector
 }
 
 // Options are the dependencies of an Executor.
@@ -75,7 +77,7 @@
 
 // New returns an executor without a backend server.
 func New(options Options) *Executor {
-	return &Executor{options: options, runs: make(map[*run]struct{})}
+	return &Executor{options: options, runs: make(map[*run]struct{}), detector: detector.New()}
 }
 
 // SetBackend sets the announced backend server, or nil if it left. It opens the admitter, or closes it if
@@ -103,6 +105,7 @@
 		e.loadReport = loadReport{}
 		e.health.answeredAt = time.Time{}
 		e.notice = eelgrasspoint.ServerNotice{}
+		e.detector.Reset()
 		e.replaceTransport(backend)
 		e.confirmCrash()
 	}
@@ -123,42 +126,66 @@
 	if report := e.lastLoadReport(); !report.receivedAt.IsZero() {
 		load.Slowness = report.load.Slowness
 	}
+	load.Pause = max(load.Pause, e.detector.Pause(e.options.Clock()))
 	return load
 }
 
 // RoundTrip admits the attempt, runs it and returns the backend server's answer. The slot stays in use
 // until the answer's body ends, fails or is closed. Errors are of type *OutcomeError; an answer beside an
 // error holds only the load hint.
-func (e *Executor) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
-	answer, err := e.roundTrip(ctx, candidate, attempt)
+func (e *Executor) RoundTrip(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+	r, answer, err := e.admit(ctx, attempt)
+	if err == nil {
+		answer, err = e.run(ctx, r)
+	}
 	if err != nil {
-		e.recordFailure(&attempt.Meta, eelgrasspoint.AsOutcome(err))
+		e.recordFailure(&attempt.Meta, eelgrasspoint.AsOutcome(err), r)
 	}
 	return answer, err
 }
 
-// roundTrip is RoundTrip without the event that records a failure.
-func (e *Executor) roundTrip(ctx context.Context, _ *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
+// admit returns the run of an attempt that got a slot. An answer beside an error holds only the load hint.
+func (e *Executor) admit(ctx context.Context, attempt *eelgrasspoint.Attempt) (*run, *eelgrasspoint.Answer, error) {
 	if err := e.checkAllowed(&attempt.Meta); err != nil {
-		return nil, err
-	}
-	if err := e.options.Admitter.CheckRate(); err != nil {
-		// A health check before each refusal would be a further load, but one now and then may show that the limit has ended.
-		e.checkHealthIfOld()
-		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
+		return nil, nil, err
 	}
-	if e.tooSlow(ctx, attempt.Meta.Insists) {
-		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
+	if err := e.checkLoad(ctx, &attempt.Meta); err != nil {
+		return nil, e.loadHint(), err
 	}
 	admittedAt, err := e.options.Admitter.Admit(ctx, &attempt.Meta)
 	if err != nil {
-		return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}, err
+		return nil, e.loadHint(), err
 	}
 	r, err := e.waitAndRegister(ctx, attempt, admittedAt)
 	if err != nil {
 		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admittedAt, Ignored: true})
-		return nil, err
+		return nil, nil, err
+	}
+	return r, nil, nil
+}
+
+// checkLoad returns a refusal if the backend server takes no request for the moment, whether it has a slot or not.
+func (e *Executor) checkLoad(ctx context.Context, meta *eelgrasspoint.RequestMetadata) error {
+	if err := e.options.Admitter.CheckRate(); err != nil {
+		// A health check before each refusal would be a further load, but one now and then may show that the limit has ended.
+		e.checkHealthIfOld()
+		return err
+	}
+	if err := e.hanging(meta); err != nil {
+		return err
+	}
+	if e.tooSlow(ctx, meta.Insists) {
+		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
 	}
+	return nil
+}
+
+func (e *Executor) loadHint() *eelgrasspoint.Answer {
+	return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}
+}
+
+// run sends the request of a run and returns the backend server's answer.
+func (e *Executor) run(ctx context.Context, r *run) (*eelgrasspoint.Answer, error) {
 	returned := false
 	defer func() {
 		if !returned {
@@ -238,6 +265,7 @@
 	e.runs[r] = struct{}{}
 	r.crowded = len(e.runs) > admitter.FastSlots(int(e.backend.Slots))
 	r.usualSpeed = e.hasFreshLoadReport() && e.loadReport.load.Slowness < usualSlownessLimit
+	e.watch(r)
 	return r, nil
 }
 
@@ -257,6 +285,7 @@
 		e.runningSuspects--
 	}
 	e.mu.Unlock()
+	r.abandoned()
 	sample.Route, sample.Usual, sample.Crowded = r.attempt.Meta.Route, r.usualSpeed, r.crowded
 	sample.At = e.options.Clock()
 	sample.Admitted = r.admittedAt
--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -71,11 +72,29 @@
 }
 
 func newExecutorAndAdmitter(t *testing.T, s *fakeServer) (*executor.Executor, *admitter.Admitter) {
+	t.Helper()
+	e, a, _ := newExecutorFor(t, s)
+	return e, a
+}
+
+func newRecordedExecutor(t *testing.T, s http.Handler) (*executor.Executor, *recorder.Recorder) {
+	t.Helper()
+	e, _, events := newExecutorFor(t, s)
+	return e, events
+}
+
+// eventsOf returns the recorded events with the number.
+func eventsOf(events *recorder.Recorder, number eelgrasspoint.EventNumber) []eelgrasspoint.Event {
+	return slices.DeleteFunc(events.Events(time.Time{}), func(e eelgrasspoint.Event) bool { return e.Number != number })
+}
+
+func newExecutorFor(t *testing.T, s http.Handler) (*executor.Executor, *admitter.Admitter, *recorder.Recorder) {
 	t.Helper()
 	httpServer := httptest.NewServer(s)
 	t.Cleanup(httpServer.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	events := recorder.New("n", time.Now, log)
 	h := holder.New(&eelgrasspoint.Snapshot{
 		Self: eelgrasspoint.Member{Name: "n", Region: "r"},
 		Configuration: &eelgrasspoint.Configuration{Revision: 1, Document: eelgrasspoint.Document{
@@ -85,13 +104,13 @@
 	a := admitter.NewWithReportedLoad(limiter.NewFixed(4), time.Now)
 	e := executor.New(executor.Options{
 		Holder: h, Admitter: a, Quarantiner: quarantiner.New(time.Now),
-		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
+		Recorder: events, Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
 		Contract: loadContract{parser.New()}, TellsLoad: true, CountCheck: func() {}, CountArrival: func() {},
 	})
 	t.Cleanup(e.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(httpServer.URL, "http://"))
 	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: address, Incarnation: 1, Slots: 4, Connections: 4})
-	return e, a
+	return e, a, events
 }
 
 func newAttempt(insists bool, targetLatency time.Duration) *eelgrasspoint.Attempt {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/detector"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/transport/dialer"
 	"eelgrasspoint/transport/relayer"
@@ -35,6 +36,9 @@
 	conn     net.Conn
 	finished atomic.Bool
 	bodyRead atomic.Bool
+	// watched is the run as the detector knows it. overdueTimer is nil if its usual duration is not known.
+	watched      *detector.Run
+	overdueTimer *time.Timer
 }
 
 // maxTries bounds how often a run tries to send its request. It tries again only if a reused connection
