Requests that a slow server can't answer in time are refused at once

Cause: an attempt without another choice started on a slow server after its wait, whatever the slowness; and entry nodes forget a hint within 60 ms, so that they came back again and again. Change: the least slowness of the last second tells how slow the server is for longer than a moment. A run that would end after the deadline, by the usual duration of its route times that, is refused as SlowServer before it waits; after a wait the slowness of that moment decides.

--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -16,6 +16,8 @@
 	// abandonedShare is the part of that time after which a run that its entry node gave up counts as overdue, too:
 	// entry nodes hedge requests that take longer than usual.
 	abandonedShare = 0.6
+	// unknownSlowness is the slowness that a run is taken to have if it is not known.
+	unknownSlowness = 5.0
 	// minPatience bounds that time below: shorter runs may be late because of the machine.
 	minPatience = 150 * time.Millisecond
 	// minDurations is the number of answered runs of a route from which its usual duration is known.
@@ -58,7 +60,7 @@
 	answeredTrials int
 }
 
-// usualDuration is the moving average of the durations of the answered runs of a route.
+// usualDuration is the moving average of the durations of the answered runs of a route, divided by their slowness.
 type usualDuration struct {
 	value time.Duration
 	count int
@@ -67,6 +69,7 @@
 // Run is one run, from Begin to Answered or Abandoned. Its fields belong to the detector.
 type Run struct {
 	route          string
+	slowness       float64
 	trial, overdue bool
 	ended          bool
 	startedAt      time.Time
@@ -125,11 +128,11 @@
 
 // Begin registers a run that starts now. Its patience is the time without an answer after which Overdue is to be
 // called, or zero if the usual duration is not known yet. slowness is the multiple of the usual duration that the run
-// is expected to take.
+// is expected to take, or zero if that is not known.
 func (d *Detector) Begin(meta *eelgrasspoint.RequestMetadata, slowness float64, now time.Time) (run *Run, patience time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	run = &Run{route: meta.Route, trial: d.hanging, startedAt: now}
+	run = &Run{route: meta.Route, slowness: slowness, trial: d.hanging, startedAt: now}
 	if d.hanging {
 		d.trialAt, d.inTrial = now, true
 	}
@@ -137,6 +140,9 @@
 	if usual == nil || usual.count < minDurations {
 		return run, 0
 	}
+	if slowness == 0 {
+		slowness = unknownSlowness
+	}
 	run.patience = max(minPatience, time.Duration(patienceFactor*max(slowness, 1)*float64(usual.value)))
 	return run, run.patience
 }
@@ -174,7 +180,7 @@
 		return false
 	}
 	run.ended = true
-	d.observe(run.route, duration)
+	d.observe(run.route, time.Duration(float64(duration)/max(run.slowness, 1)))
 	if run.trial {
 		d.inTrial = false
 		d.answeredTrials++
@@ -212,6 +218,17 @@
 	return false
 }
 
+// UsualDuration returns the duration of the route's runs at the server's usual speed, or zero if it is not known yet.
+func (d *Detector) UsualDuration(route string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usual := d.durations[route]
+	if usual == nil || usual.count < minDurations {
+		return 0
+	}
+	return usual.value
+}
+
 // note adds a run to the recent ones.
 func (d *Detector) note(run *Run, now time.Time) {
 	run.at = now
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -30,6 +30,7 @@
 	runningSuspects  int
 	pendingCrash     *pendingCrash
 	loadReport       loadReport
+	slowness         slownessHistory
 	health           healthState
 	notice           eelgrasspoint.ServerNotice
 	detector         *detector.Detector
@@ -103,6 +104,7 @@
 	if previous == nil || previous.Incarnation != backend.Incarnation || previous.Address != backend.Address {
 		e.options.Admitter.Reset(int(backend.Slots))
 		e.loadReport = loadReport{}
+		e.slowness = slownessHistory{}
 		e.health.answeredAt = time.Time{}
 		e.notice = eelgrasspoint.ServerNotice{}
 		e.detector.Reset()
@@ -126,7 +128,7 @@
 	if report := e.lastLoadReport(); !report.receivedAt.IsZero() {
 		load.Slowness = report.load.Slowness
 	}
-	load.Pause = max(load.Pause, e.detector.Pause(e.options.Clock()))
+	load.Pause = max(load.Pause, e.detector.Pause(e.options.Clock()), e.slowPause())
 	return load
 }
 
@@ -177,6 +179,9 @@
 	if e.tooSlow(ctx, meta.Insists) {
 		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
 	}
+	if e.tooLate(meta, e.lastingSlowness()) {
+		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "the run would end after the deadline")
+	}
 	return nil
 }
 
--- a/coordination/executor/hang.go
+++ b/coordination/executor/hang.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// unknownSlowness is the slowness that a run is expected to have if no fresh load report tells it.
-	unknownSlowness = 5.0
 	// coldSlowness is the least slowness that is expected in a slow start.
 	coldSlowness = 3.0
 	// maxTimerDelay is how late a timer fires at most, unless the whole process stood still. Then answers wait to be
@@ -19,7 +17,7 @@
 
 // watch registers the run with the detector, which is told if the run has no answer in time. The caller holds the lock.
 func (e *Executor) watch(r *run) {
-	slowness := unknownSlowness
+	var slowness float64
 	if e.hasFreshLoadReport() && e.loadReport.load.Slowness > 0 {
 		slowness = e.loadReport.load.Slowness
 	}
--- a/coordination/executor/health.go
+++ b/coordination/executor/health.go
@@ -106,7 +106,7 @@
 	now := e.options.Clock()
 	e.health.answeredAt = now
 	if health.HasLoad {
-		e.loadReport = loadReport{load: health.Load, receivedAt: now}
+		e.setLoadReport(health.Load)
 	}
 	if health.Cold > 0 || e.options.Admitter.Cold() {
 		e.options.Admitter.SetCold(health.Cold)
--- a/coordination/executor/load.go
+++ b/coordination/executor/load.go
@@ -32,7 +32,7 @@
 	if !e.isCurrent(backend) {
 		return
 	}
-	e.loadReport = loadReport{load: metadata.Load, receivedAt: e.options.Clock()}
+	e.setLoadReport(metadata.Load)
 }
 
 // InvalidateReports discards the last load report and health check, so that the next request makes
@@ -78,7 +78,7 @@
 
 // waitWhileSlow waits until the backend server is no longer slow, since the slowness at the start of a run
 // multiplies the duration of the whole run. It waits for at most MaxSlowWaitRatio of the request's target
-// latency.
+// latency. A run that could not end in time is refused then.
 func (e *Executor) waitWhileSlow(ctx context.Context, meta *eelgrasspoint.RequestMetadata) error {
 	path := e.healthPath()
 	if path == "" {
@@ -94,6 +94,9 @@
 	if ctx.Err() != nil {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotSentReason(ctx), "attempt ended while it waited for the slow backend server")
 	}
+	if report := e.lastLoadReport(); e.tooLate(meta, report.load.Slowness) {
+		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "the run would end after the deadline")
+	}
 	return nil
 }
 
