No request that has not begun is lost with a silent connection between nodes

Calls with 200 ms failed at once. Cause: nothing tells an entry node whether an attempt on such a connection has begun, so that it may not send an unsafe request again; and the sign of silence came late, from pings that net/http sends on each idle connection as well. Change: (1) package withdrawer: the exit node notes each attempt that arrives; the entry node withdraws one on a suspect connection over a new connection. If it has not arrived, it never will begin, and goes to the same or another node as not run. A process doesn't speak for its predecessor, nor an older build for attempts: no proof, as before. (2) A connection is checked while attempts wait on it and nothing is read, after an eighth of what the most urgent has left (25 to 150 ms); the answer is due in four times the time to connect. Idle connections are not pinged any more.

--- a/constants.go
+++ b/constants.go
@@ -35,6 +35,9 @@
 	HeaderRevision = "Eelgrass-Revision"
 	HeaderService  = "Eelgrass-Service"
 	HeaderWeight   = "Eelgrass-Weight"
+	// HeaderWithdraw is the age in milliseconds of the attempt that a withdrawal names, and the header of the answer that
+	// proves that the attempt has not begun.
+	HeaderWithdraw = "Eelgrass-Withdraw"
 	// HeaderTargetLatency is RequestMetadata.TargetLatency.
 	HeaderTargetLatency = "Eelgrass-Target"
 )
@@ -192,12 +195,20 @@
 	// ExchangeConnectTimeout bounds an attempt to connect for the Exchange service. Each call has a bound of its
 	// own; a connection to a node behind a full link can take longer than ConnectTimeout.
 	ExchangeConnectTimeout = 2 * time.Second
+	// BackendSilenceLimit is how long a backend server's machine, which is also the node's, leaves sent data
+	// unacknowledged before the connection is closed.
+	BackendSilenceLimit = 500 * time.Millisecond
 	// BackendIdleTimeout is short because an idle connection may be dead without having been closed,
 	// and a new one costs about a millisecond.
 	BackendIdleTimeout = 250 * time.Millisecond
-	// PeerPingAfter is how long a connection between nodes receives nothing before it is pinged.
-	PeerPingAfter   = 700 * time.Millisecond
-	PeerPingTimeout = 1000 * time.Millisecond
+	// PeerCheckAfter is how long a connection between nodes with attempts receives nothing at most before a check is sent
+	// on it. Without anything for another PeerSuspectAfter at most, new attempts use a new connection; after
+	// PeerSilentAfter in all, the attempts that can be repeated do.
+	PeerCheckAfter   = 150 * time.Millisecond
+	PeerSuspectAfter = 200 * time.Millisecond
+	PeerSilentAfter  = 1700 * time.Millisecond
+	// PeerProbeTimeout bounds a check of a connection, a probe of an exit node and a withdrawal of an attempt.
+	PeerProbeTimeout = time.Second
 	// PeerSilenceLimit is how long a connection between nodes receives nothing before it is closed with the
 	// attempts that can't be repeated. The bytes of the large bodies of several requests need seconds on a slow
 	// link.
--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"eelgrasspoint"
@@ -38,7 +39,8 @@
 	return bindCancel(result, cancel)
 }
 
-// noteEnd notes that an attempt ended. A candidate that refused because of its load is added to overloaded.
+// noteEnd notes that an attempt ended. A candidate that refused because of its load is added to overloaded, one that the
+// attempt did not reach is eligible again.
 func (p *proxiedRequest) noteEnd(result attemptResult) {
 	p.lastEnded = result.candidate
 	if result.err == nil {
@@ -47,6 +49,9 @@
 	switch eelgrasspoint.AsOutcome(result.err).Reason {
 	case eelgrasspoint.SlowServer, eelgrasspoint.Overloaded, eelgrasspoint.ColdServer, eelgrasspoint.HangingServer:
 		p.overloaded = append(p.overloaded, result.candidate)
+	case eelgrasspoint.Withdrawn:
+		// Only the connection failed; a new one may reach the same node.
+		p.tried = slices.DeleteFunc(p.tried, func(c *eelgrasspoint.Candidate) bool { return c == result.candidate })
 	}
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -70,6 +70,8 @@
 	RouteUnreadable
 	// HangingServer means that the backend server lately gave no answer to too many requests.
 	HangingServer
+	// Withdrawn means that the entry node withdrew the attempt before it arrived at the exit node.
+	Withdrawn
 	// reasonCount is the number of reasons.
 	reasonCount
 )
@@ -125,7 +127,7 @@
 // server.
 func (r Reason) ServerNotReached() bool {
 	switch r {
-	case SlowServer, Overloaded, ColdServer, RateLimited, HangingServer, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
+	case SlowServer, Overloaded, ColdServer, RateLimited, HangingServer, Withdrawn, Draining, ZoneOutOfService, NoServer, StaleNode, StaleRoute, NotReady, ServerUnreachable:
 		return true
 	default:
 		return false
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -60,12 +60,13 @@
 	_ = x[RateLimited-29]
 	_ = x[RouteUnreadable-30]
 	_ = x[HangingServer-31]
-	_ = x[reasonCount-32]
+	_ = x[Withdrawn-32]
+	_ = x[reasonCount-33]
 }
 
-const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalErrorRateLimitedRouteUnreadableHangingServerreasonCount"
+const _Reason_name = "NoReasonNoRouteWrongRegionNoServerOverloadedDeadlinePassedDrainingZoneOutOfServiceQuarantinedServerUnreachableBadHeaderHeaderTooLargeBodyTooLargeBodyCutShortTooDeepConnectionLostTimedOutCanceledLinkBudgetStaleRouteStaleNodeSlowServerOtherServerBadAnswerColdServerNotReadyRejectedByServerMalformedAnswerInternalErrorRateLimitedRouteUnreadableHangingServerWithdrawnreasonCount"
 
-var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315, 326, 341, 354, 365}
+var _Reason_index = [...]uint16{0, 8, 15, 26, 34, 44, 58, 66, 82, 93, 110, 119, 133, 145, 157, 164, 178, 186, 194, 204, 214, 223, 233, 244, 253, 263, 271, 287, 302, 315, 326, 341, 354, 363, 374}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/protocol/propagator/propagator.go
+++ b/protocol/propagator/propagator.go
@@ -39,7 +39,7 @@
 	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
 	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderEntryRegion, eelgrasspoint.HeaderInsists,
 	eelgrasspoint.HeaderCaller, eelgrasspoint.HeaderRevision, eelgrasspoint.HeaderService, eelgrasspoint.HeaderWeight,
-	eelgrasspoint.HeaderTargetLatency,
+	eelgrasspoint.HeaderTargetLatency, eelgrasspoint.HeaderWithdraw,
 }
 
 // Strip removes the headers that only nodes may set. It is applied to the requests and answers that are
@@ -79,6 +79,19 @@
 	WriteCall(header, meta, now)
 }
 
+// WriteKey sets the headers by which Key recognizes an attempt.
+func WriteKey(header http.Header, meta *eelgrasspoint.RequestMetadata) {
+	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
+	header[eelgrasspoint.HeaderFingerprint] = []string{strconv.FormatUint(meta.Fingerprint, 16)}
+	header[eelgrasspoint.HeaderAttempt] = []string{strconv.Itoa(meta.Attempt)}
+}
+
+// Key returns the key of an attempt, or of a withdrawal that names it. Two attempts have the same one only if their
+// callers sent the same request with the same identifier to two entry nodes.
+func Key(header http.Header) string {
+	return header.Get(eelgrasspoint.HeaderRequestID) + "/" + header.Get(eelgrasspoint.HeaderFingerprint) + "/" + header.Get(eelgrasspoint.HeaderAttempt)
+}
+
 // WriteCall sets the headers that a backend server copies to its own calls: request ID, depth and the
 // time left before the deadline.
 func WriteCall(header http.Header, meta *eelgrasspoint.RequestMetadata, now time.Time) {
--- a/runner/build.go
+++ b/runner/build.go
@@ -20,6 +20,7 @@
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/coordination/tracker"
+	"eelgrasspoint/coordination/withdrawer"
 	"eelgrasspoint/protocol/registrar"
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
@@ -45,7 +46,7 @@
 	r.controlClient = &http.Client{Transport: messenger.New(r.controlDialer.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantiner, Recorder: r.recorder,
-		Clock: clock, Dial: r.options.Dial, Report: r.reportCrash, Contract: r.options.Contract,
+		Clock: clock, Dial: r.options.BackendDial, Report: r.reportCrash, Contract: r.options.Contract,
 		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.CountHealthCheck, CountArrival: r.meter.CountArrival, Leaving: r.markLeaving,
 	})
 	r.peers = dispatcher.New(r.options.Dial, r.settings.Region, clock)
@@ -92,7 +93,8 @@
 		attempts: r.recovering(peerServer, peerRequestID, receiver.New(receiver.Options{
 			Name: r.settings.Name, Holder: r.holder, Executor: r.executor, Load: r.load, Clock: r.options.Clock,
 			Contract: r.options.Contract, Recorder: r.recorder,
-			Measuring: r.measuringBudget, Count: r.meter.AddMeasuringBytes,
+			Withdrawer: withdrawer.New(r.options.Clock),
+			Measuring:  r.measuringBudget, Count: r.meter.AddMeasuringBytes,
 		})),
 		exchange: schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Tracker: r.tracker, Clock: r.options.Clock,
--- a/standin/proof/peers_test.go
+++ b/standin/proof/peers_test.go
@@ -90,7 +90,7 @@
 		var first callResult
 		var waiting sync.WaitGroup
 		waiting.Go(func() { first = p.sendBooking("first", nil) })
-		time.Sleep(eelgrasspoint.PeerPingAfter + eelgrasspoint.PeerPingTimeout + 10*time.Millisecond)
+		time.Sleep(eelgrasspoint.PeerSilentAfter + 10*time.Millisecond)
 		later := p.sendBooking("later", nil)
 		assert.Equal(t, later.outcome, "NotRun", "%+v", later)
 		assert.Assert(t, later.took < 500*time.Millisecond, "%v", later.took)
--- a/standin/proof/silence_test.go
+++ b/standin/proof/silence_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint"
 	"eelgrasspoint/standin/backend"
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/standin/simulator"
@@ -51,23 +52,26 @@
 	})
 }
 
-// TestAttemptsLeaveSilentConnectionSoon guards against requests that all go to a connection between nodes which has fallen
-// silent, until it is known to be dead.
-func TestAttemptsLeaveSilentConnectionSoon(t *testing.T) {
-	const lost, interval = 500 * time.Millisecond, 50 * time.Millisecond
+// TestNoRequestIsLostOnSilentConnection guards against requests that are lost with a connection between nodes which has
+// fallen silent before they were sent. They may run once at most, and there is one exit node only.
+func TestNoRequestIsLostOnSilentConnection(t *testing.T) {
+	const interval, longest = 50 * time.Millisecond, 600 * time.Millisecond
 	withPair(t, backend.Behavior{ServiceTime: 5 * time.Millisecond}, func(t *testing.T, p *pair) {
 		assert.Equal(t, p.sendBooking("warm", nil).outcome, "Answered")
+		// The connection to the backend server, which would be stalled as well, is closed by then.
+		time.Sleep(2 * eelgrasspoint.BackendIdleTimeout)
 		p.Network.StallConnectionsAmong([]netip.Addr{p.entry.Host, p.exit.Host})
-		silentSince := time.Now()
 		var sent sync.WaitGroup
-		defer sent.Wait()
 		for i := range 30 {
-			sentAt := time.Since(silentSince)
 			sent.Go(func() {
 				got := p.sendBooking(fmt.Sprint("b", i), nil)
-				assert.Check(t, got.outcome == "Answered" || sentAt < lost, "sent %v after the silence: %+v", sentAt, got)
+				assert.Check(t, got.outcome == "Answered" && got.took < longest, "booking %d: %+v", i, got)
 			})
 			time.Sleep(interval)
 		}
+		sent.Wait()
+		for id, runs := range p.exit.Backend.Runs() {
+			assert.Equal(t, runs, 1, "runs of %s", id)
+		}
 	})
 }
--- a/transport/dispatcher/connection.go
+++ b/transport/dispatcher/connection.go
@@ -11,9 +11,9 @@
 	"eelgrasspoint"
 )
 
-// connection is a connection to an exit node. It is silent if nothing was read from it for PeerPingAfter and
-// then, while net/http awaits the answer to a ping, for PeerPingTimeout. Any byte that is read is a sign of
-// life, since the answer to the ping may wait behind others.
+// connection is a connection to an exit node. While attempts wait for an answer and nothing is read, a check is sent on
+// it: without any byte afterwards it is suspect, and then silent. Any byte that is read is a sign of life, since the
+// answer to the check may wait behind others. A connection without attempts is not checked.
 type connection struct {
 	net.Conn
 	dispatcher *Dispatcher
@@ -22,32 +22,42 @@
 	openedAt time.Time
 	// lastRead is the time from openedAt to the last read.
 	lastRead atomic.Int64
-	// unanswered is the number of bytes written since the last read, and writes the number of writes.
+	// unanswered is the number of bytes written since the last read.
 	unanswered atomic.Int64
-	writes     atomic.Int64
-	// waitingSince is the time from openedAt to the first write since the last read.
-	waitingSince atomic.Int64
 
 	mu     sync.Mutex
 	timer  *time.Timer
 	closed bool
 	// abandoned is set if watch closed the connection.
 	abandoned bool
-	// pinged is set while the answer to a ping is awaited.
-	pinged bool
-	// heard ends when the connection becomes silent; it is replaced when bytes are read again.
-	heard  context.Context //nolint:containedctx // It belongs to the connection, not to a call.
-	giveUp context.CancelFunc
+	// attempts is the number of attempts without an answer, and busySince the time from openedAt to the first of them.
+	attempts  int
+	busySince time.Duration
+	// checkAfter is the time without a read after which a check is sent, by the most urgent of the attempts.
+	checkAfter time.Duration
+	// suspectAfter is the time that the answer to a check takes at most on a sound connection.
+	suspectAfter time.Duration
+	// checkedAt is the time from openedAt to the last check, or zero if no answer to a check is awaited.
+	checkedAt time.Duration
+	// sound ends when the connection becomes suspect, heard when it becomes silent; they are replaced when bytes are
+	// read again.
+	sound, heard    context.Context //nolint:containedctx // They belong to the connection, not to a call.
+	suspect, giveUp context.CancelFunc
 }
 
 // errSilent is the error of the attempts that a silent connection ends.
 var errSilent = errors.New("the connection to the exit node was silent")
 
 const (
-	// suspectAfter and suspectWrites are how long nothing is read from a connection, and after how many writes, before
-	// new attempts use another one.
-	suspectAfter  = 300 * time.Millisecond
-	suspectWrites = 3
+	// checkDivisor sets the part of the time that an attempt has left after which a check is sent, at least minCheckAfter.
+	checkDivisor  = 8
+	minCheckAfter = 25 * time.Millisecond
+	// connectFactor is the multiple of the time to connect, which is a round trip, after which the answer to a check is
+	// overdue, at least minSuspectAfter.
+	connectFactor   = 4
+	minSuspectAfter = 40 * time.Millisecond
+	// recheckPause is the pause after an answered check, while the backend server is still at work.
+	recheckPause = 300 * time.Millisecond
 	// probeInterval is the pause between two probes of the exit node of a silent connection.
 	probeInterval = 250 * time.Millisecond
 	// probeGrace is the time in which a connection that is not dead can still read, after a probe whose
@@ -58,13 +68,48 @@
 	maxBytesBeforePing = eelgrasspoint.MaxBodyBytesWithoutContinue
 )
 
-func newConnection(conn net.Conn, d *Dispatcher, host string) *connection {
+// newConnection watches a connection that took connectTime to open.
+func newConnection(conn net.Conn, d *Dispatcher, host string, connectTime time.Duration) *connection {
 	c := &connection{Conn: conn, dispatcher: d, host: host, openedAt: time.Now()}
+	c.suspectAfter = min(max(connectFactor*connectTime, minSuspectAfter), eelgrasspoint.PeerSuspectAfter)
+	c.sound, c.suspect = context.WithCancel(context.Background())
 	c.heard, c.giveUp = context.WithCancel(context.Background())
+	return c
+}
+
+// begin notes an attempt that waits for its answer, until end is called. left is the time until its deadline.
+func (c *connection) begin(left time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.timer = time.AfterFunc(eelgrasspoint.PeerPingAfter, c.watch)
-	return c
+	checkAfter := min(max(left/checkDivisor, minCheckAfter), eelgrasspoint.PeerCheckAfter)
+	c.attempts++
+	if c.closed || c.attempts > 1 && checkAfter >= c.checkAfter {
+		return
+	}
+	c.checkAfter = checkAfter
+	if c.attempts == 1 {
+		c.busySince = time.Since(c.openedAt)
+	}
+	switch {
+	case c.timer == nil:
+		c.timer = time.AfterFunc(checkAfter, c.watch)
+	case c.checkedAt == 0:
+		c.timer.Reset(checkAfter)
+	}
+}
+
+// end notes the end of an attempt, or its answer.
+func (c *connection) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts--
+}
+
+// onSuspicion calls f in its own goroutine when the connection is suspect, unless stop is called before.
+func (c *connection) onSuspicion(f func()) (stop func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return context.AfterFunc(c.sound, f)
 }
 
 // onSilence calls f in its own goroutine when the connection is silent, unless stop is called before.
@@ -79,7 +124,6 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.unanswered.Store(0)
-		c.writes.Store(0)
 		c.lastRead.Store(int64(time.Since(c.openedAt)))
 	}
 	if err != nil && c.isAbandoned() {
@@ -97,28 +141,16 @@
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	c.unanswered.Add(int64(len(p)))
-	if c.isSuspect() {
-		c.dispatcher.renewer.Renew(c.host)
-	}
 	return c.Conn.Write(p)
 }
 
-// isSuspect counts a write and reports whether nothing was read for suspectAfter although there were several writes. The
-// connection may be sound, but a new one for the attempts that follow costs less than the attempts themselves.
-func (c *connection) isSuspect() bool {
-	now := int64(time.Since(c.openedAt))
-	if c.writes.Add(1) == 1 {
-		c.waitingSince.Store(now)
-		return false
-	}
-	return c.writes.Load() >= suspectWrites && time.Duration(now-c.waitingSince.Load()) >= suspectAfter
-}
-
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	c.timer.Stop()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -130,13 +162,12 @@
 	_ = c.Close()
 }
 
-// watch keeps new attempts off the connection if it is silent, and closes it if it is dead. Until then, the
+// watch checks the connection, keeps new attempts off it if it is suspect, and closes it if it is dead. Until then, the
 // attempts that can't be repeated stay: the link may only be slow.
 func (c *connection) watch() {
 	if !c.isSilent() {
 		return
 	}
-	c.dispatcher.renewer.Renew(c.host)
 	if c.isDead() {
 		c.abandon()
 		return
@@ -148,8 +179,8 @@
 	}
 }
 
-// isSilent reports whether the connection is silent, and then lets go the attempts that can be repeated. If it
-// is open and not silent, isSilent schedules the next watch.
+// isSilent takes the next step towards the decision that the connection is silent, and reports whether it is. It
+// schedules the next step, unless the connection is closed, has no attempts or is silent.
 func (c *connection) isSilent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,20 +188,43 @@
 	switch {
 	case c.closed:
 		return false
-	case silence < eelgrasspoint.PeerPingAfter:
-		c.pinged = false
-		if c.heard.Err() != nil {
-			c.heard, c.giveUp = context.WithCancel(context.Background())
+	case silence < c.checkAfter:
+		c.recover()
+		if c.attempts > 0 {
+			c.timer.Reset(c.checkAfter - silence)
 		}
-		c.timer.Reset(eelgrasspoint.PeerPingAfter - silence)
 		return false
-	case !c.pinged:
-		c.pinged = true
-		c.timer.Reset(eelgrasspoint.PeerPingTimeout)
+	case c.attempts == 0 && c.sound.Err() == nil:
+		c.checkedAt = 0
+		return false
+	case c.checkedAt == 0:
+		c.checkedAt = time.Since(c.openedAt)
+		go c.dispatcher.check(c.host)
+		c.timer.Reset(c.suspectAfter)
 		return false
-	default:
-		c.giveUp()
-		return true
+	case time.Duration(c.lastRead.Load()) > c.checkedAt:
+		c.recover()
+		c.timer.Reset(recheckPause)
+		return false
+	}
+	c.dispatcher.renewer.Renew(c.host)
+	c.suspect()
+	if silence < eelgrasspoint.PeerSilentAfter {
+		c.timer.Reset(eelgrasspoint.PeerSilentAfter - silence)
+		return false
+	}
+	c.giveUp()
+	return true
+}
+
+// recover notes that bytes were read. The caller holds the lock.
+func (c *connection) recover() {
+	c.checkedAt = 0
+	if c.sound.Err() != nil {
+		c.sound, c.suspect = context.WithCancel(context.Background())
+	}
+	if c.heard.Err() != nil {
+		c.heard, c.giveUp = context.WithCancel(context.Background())
 	}
 }
 
@@ -186,7 +240,7 @@
 	return answered && c.unanswered.Load() <= maxBytesBeforePing || c.silence() >= eelgrasspoint.PeerSilenceLimit
 }
 
-// silence returns the time since the last read.
+// silence returns the time since the last read, or since there are attempts, if that is shorter.
 func (c *connection) silence() time.Duration {
-	return time.Since(c.openedAt) - time.Duration(c.lastRead.Load())
+	return time.Since(c.openedAt) - max(time.Duration(c.lastRead.Load()), c.busySince)
 }
--- a/transport/dispatcher/delivery.go
+++ b/transport/dispatcher/delivery.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // errNotProcessed is the error of an attempt that the exit node did not process, and whose body net/http has
@@ -21,8 +22,12 @@
 	// connected is set if the attempt may have been sent.
 	connected bool
 	bodyRead  atomic.Bool
-	// unwatch keeps a silent connection from canceling the attempt.
-	unwatch func() bool
+	deadline  time.Time
+	// withdraw withdraws the attempt, and reports whether it has certainly not begun.
+	withdraw  func() bool
+	withdrawn atomic.Bool
+	// unwatch keeps a suspect or silent connection from canceling the attempt; nil if the attempt has none.
+	unwatch func()
 }
 
 func (v *delivery) trace() *httptrace.ClientTrace {
@@ -49,23 +54,38 @@
 func (v *delivery) gotConn(info httptrace.GotConnInfo) {
 	v.connected = true
 	c, watched := info.Conn.(*connection)
-	if !watched || v.giveUp == nil {
+	if !watched {
 		return
 	}
 	v.endWatch()
-	v.unwatch = c.onSilence(v.cancelIfGivenUp)
+	c.begin(time.Until(v.deadline))
+	stopSuspicion := c.onSuspicion(v.cancelIfWithdrawn)
+	stopSilence := c.onSilence(v.cancelIfGivenUp)
+	v.unwatch = func() {
+		stopSuspicion()
+		stopSilence()
+		c.end()
+	}
 }
 
 func (v *delivery) cancelIfGivenUp() {
-	if v.giveUp() {
+	if v.giveUp != nil && v.giveUp() {
+		v.cancel()
+	}
+}
+
+func (v *delivery) cancelIfWithdrawn() {
+	if v.withdraw() {
+		v.withdrawn.Store(true)
 		v.cancel()
 	}
 }
 
-// endWatch keeps a silent connection from canceling the attempt.
+// endWatch keeps a suspect or silent connection from canceling the attempt.
 func (v *delivery) endWatch() {
 	if v.unwatch != nil {
 		v.unwatch()
+		v.unwatch = nil
 	}
 }
 
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -26,18 +26,14 @@
 
 var _ eelgrasspoint.RoundTripper = (*Dispatcher)(nil)
 
-// New returns a dispatcher for a node in the region. It opens its connections with dial. A connection that
-// receives nothing for suspectAfter although it is written to gets no new attempts. One that
-// receives nothing for PeerPingAfter is pinged. If nothing is received for another PeerPingTimeout, later
-// attempts use a new connection, and the attempts that can be repeated fail; the others wait until the
-// connection is dead or their deadline passes.
+// New returns a dispatcher for a node in the region. It opens its connections with dial. A connection with attempts from
+// which nothing is read is checked after PeerCheckAfter at most. If nothing is read for another PeerSuspectAfter at most,
+// later attempts use a new connection, and those that have not arrived at the exit node are withdrawn. After PeerSilentAfter, the attempts
+// that can be repeated fail; the others wait until the connection is dead or their deadline passes.
 func New(dial dialer.Func, region string, clock eelgrasspoint.Clock) *Dispatcher {
 	d := &Dispatcher{renewer: renewer.New(), region: region, clock: clock}
 	d.transport = newTransport(withTimeout(d.watched(d.renewer.Dial(dial)), eelgrasspoint.ConnectTimeout))
 	d.transport.IdleConnTimeout = eelgrasspoint.PeerIdleTimeout
-	d.transport.HTTP2.SendPingTimeout = eelgrasspoint.PeerPingAfter
-	// net/http closes a connection whose ping is not answered in time, even if it receives other frames.
-	d.transport.HTTP2.PingTimeout = eelgrasspoint.MaxTimeLimit
 	return d
 }
 
@@ -73,12 +69,17 @@
 // holds only the load hint.
 func (d *Dispatcher) RoundTrip(ctx context.Context, candidate *eelgrasspoint.Candidate, attempt *eelgrasspoint.Attempt) (*eelgrasspoint.Answer, error) {
 	sendCtx, cancel := context.WithCancel(ctx)
-	v := &delivery{giveUp: attempt.GiveUp, cancel: cancel}
+	sentAt := time.Now()
+	v := &delivery{giveUp: attempt.GiveUp, cancel: cancel, deadline: attempt.Meta.Deadline, withdraw: func() bool { return d.withdraw(candidate, &attempt.Meta, sentAt) }}
 	request := d.request(httptrace.WithClientTrace(sendCtx, v.trace()), candidate, attempt)
 	if attempt.Length != 0 {
 		v.attach(request, attempt.Body)
 	}
 	response, err := d.transport.RoundTrip(request)
+	if err != nil && v.withdrawn.Load() {
+		v.end()
+		return nil, eelgrasspoint.Refuse(eelgrasspoint.Withdrawn, "the connection to the exit node was silent")
+	}
 	if err != nil {
 		if sendCtx.Err() != nil && ctx.Err() == nil {
 			err = errSilent
--- a/transport/dispatcher/silence_test.go
+++ b/transport/dispatcher/silence_test.go
@@ -58,7 +58,7 @@
 			assert.NilError(t, err)
 			defer answer.Response.Body.Close()
 			paused.Store(true)
-			time.Sleep(eelgrasspoint.PeerPingAfter + eelgrasspoint.PeerPingTimeout + 500*time.Millisecond)
+			time.Sleep(eelgrasspoint.PeerSilentAfter + 500*time.Millisecond)
 			paused.Store(false)
 			body, err := io.ReadAll(answer.Response.Body)
 			assert.NilError(t, err)
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -6,8 +6,11 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
+	"time"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/withdrawer"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/state/budgeter"
@@ -35,6 +38,8 @@
 	Recorder eelgrasspoint.Recorder
 	// Measuring is the byte budget of load hints that are sent to another region.
 	Measuring *budgeter.Budgeter
+	// Withdrawer decides between attempts and their withdrawals.
+	Withdrawer *withdrawer.Withdrawer
 	// Count is called with the bytes of each load hint and the kind of link to the entry node.
 	Count func(link string, bytes int)
 }
@@ -42,13 +47,22 @@
 // New returns a receiver.
 func New(options Options) *Receiver { return &Receiver{Options: options, relayer: relayer.New()} }
 
-// IsAttempt reports whether a request on the nodes' port is an attempt.
-func IsAttempt(r *http.Request) bool { return r.Header.Get(eelgrasspoint.HeaderRoute) != "" }
+// IsAttempt reports whether a request on the nodes' port is an attempt, or the withdrawal of one.
+func IsAttempt(r *http.Request) bool {
+	return r.Header.Get(eelgrasspoint.HeaderRoute) != "" || r.Header.Get(eelgrasspoint.HeaderWithdraw) != ""
+}
 
 // ServeHTTP implements http.Handler.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if age := request.Header.Get(eelgrasspoint.HeaderWithdraw); age != "" {
+		r.withdraw(w, request, age)
+		return
+	}
 	entryRegion := request.Header.Get(eelgrasspoint.HeaderEntryRegion)
 	meta, refusal := r.metadata(request)
+	if refusal == nil && !r.Withdrawer.Begin(propagator.Key(request.Header), meta.Deadline) {
+		refusal = eelgrasspoint.Refuse(eelgrasspoint.Withdrawn, "")
+	}
 	if refusal != nil {
 		r.writeError(w, entryRegion, meta.RequestID, refusal)
 		return
@@ -79,6 +93,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// withdraw answers the withdrawal of an attempt that is age milliseconds old. Only the header of the answer is a proof.
+func (r *Receiver) withdraw(w http.ResponseWriter, request *http.Request, age string) {
+	milliseconds, err := strconv.ParseInt(age, 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.Withdrawer.Withdraw(propagator.Key(request.Header), time.Duration(milliseconds)*time.Millisecond) {
+		w.Header()[eelgrasspoint.HeaderWithdraw] = []string{"1"}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // recordCutShort records an answer of which the entry node got only a part, unless data residency forbids it.
 func (r *Receiver) recordCutShort(meta *eelgrasspoint.RequestMetadata, err error) {
 	self := r.Holder.Load().Self
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -12,6 +12,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/router"
+	"eelgrasspoint/coordination/withdrawer"
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/state/budgeter"
@@ -73,7 +74,8 @@
 				}),
 				Executor: executor, Contract: parser.New(), Clock: time.Now,
 				Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Count: func(string, int) {},
-				Measuring: budgeter.New(1000, time.Now), Recorder: recorder.New("exit", time.Now, logrus.New()),
+				Withdrawer: withdrawer.New(time.Now),
+				Measuring:  budgeter.New(1000, time.Now), Recorder: recorder.New("exit", time.Now, logrus.New()),
 			})
 			r := httptest.NewRequest(http.MethodGet, "/m/1", nil)
 			c.meta.Deadline = time.Now().Add(time.Second)
--- a/transport/receiver/silent_test.go
+++ b/transport/receiver/silent_test.go
@@ -13,6 +13,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/router"
+	"eelgrasspoint/coordination/withdrawer"
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/state/budgeter"
@@ -38,8 +39,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	exitNode := httptest.NewUnstartedServer(receiver.New(receiver.Options{
-		Holder:   holder.New(&eelgrasspoint.Snapshot{Configuration: configuration, Router: router.New(&configuration.Document)}),
-		Executor: readingExecutor{}, Contract: parser.New(), Clock: time.Now,
+		Withdrawer: withdrawer.New(time.Now),
+		Holder:     holder.New(&eelgrasspoint.Snapshot{Configuration: configuration, Router: router.New(&configuration.Document)}),
+		Executor:   readingExecutor{}, Contract: parser.New(), Clock: time.Now,
 		Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Count: func(string, int) {},
 		Measuring: budgeter.New(1000, time.Now), Recorder: recorder.New("exit", time.Now, logrus.New()),
 	}))
