A silent connection to the backend server fails after half a second

Cause: TestStalledConnectionsDetected, whose request now goes on over a new connection between the nodes, found that a run on a silent connection to the backend server waits for its deadline (5 s). Change: sent data that the server's machine, which is the node's own, leaves unacknowledged for 0.5 s closes the connection (TCP_USER_TIMEOUT). A server at work acknowledges at once, however long it takes. The simulated network does the same.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -50,13 +50,14 @@
 	output := emitter.New(os.Stdout)
 	defer output.Close()
 	options := runner.Options{
-		Settings: settings,
-		Table:    tableFactory(settings),
-		Dial:     (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
-		Listen:   net.Listen,
-		Log:      newLog(settings, output),
-		Clock:    time.Now,
-		Seed:     uint64(time.Now().UnixNano()),
+		Settings:    settings,
+		Table:       tableFactory(settings),
+		Dial:        (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext,
+		Listen:      net.Listen,
+		BackendDial: opener.NewWithTimeout(eelgrasspoint.BackendSilenceLimit).DialContext,
+		Log:         newLog(settings, output),
+		Clock:       time.Now,
+		Seed:        uint64(time.Now().UnixNano()),
 	}
 	if settings.Contract == loader.ContractPlatform {
 		usePlatformContract(&options)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -79,11 +79,13 @@
 	Settings *loader.Settings
 	// Table returns the client of the table service. count must be called with the name and the result
 	// of every call.
-	Table  func(count func(call, result string)) eelgrasspoint.Table
-	Dial   dialer.Func
-	Listen func(network, address string) (net.Listener, error)
-	Log    logrus.FieldLogger
-	Clock  eelgrasspoint.Clock
+	Table func(count func(call, result string)) eelgrasspoint.Table
+	Dial  dialer.Func
+	// BackendDial opens the connections to the backend server beside the node. The default is Dial.
+	BackendDial dialer.Func
+	Listen      func(network, address string) (net.Listener, error)
+	Log         logrus.FieldLogger
+	Clock       eelgrasspoint.Clock
 	// Seed is that of the random numbers of the forwarder.
 	Seed uint64
 	// Chooser and Limiter are optional; the defaults are chooser.New and limiter.New.
@@ -117,6 +119,9 @@
 	if options.Contract == nil {
 		options.Contract = parser.New()
 	}
+	if options.BackendDial == nil {
+		options.BackendDial = options.Dial
+	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
 	r.latestSettings.Store(r.settings)
 	r.controlDialer = dialer.New(options.Dial)
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -17,6 +17,8 @@
 	latency       time.Duration
 	crossRegion   bool
 	in, out       *stream
+	// userTimeout is the time after which a stalled connection with sent data is reset, or zero.
+	userTimeout   time.Duration
 	readDeadline  deadline
 	writeDeadline deadline
 }
@@ -39,6 +41,9 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	c.network.callTap(c, p)
+	if c.userTimeout > 0 && c.out.isStalled() {
+		time.AfterFunc(c.userTimeout, c.reset)
+	}
 	return c.out.write(p, c.network.arrivalTime(c, len(p)))
 }
 
@@ -228,6 +233,12 @@
 	s.stalled = true
 }
 
+func (s *stream) isStalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalled
+}
+
 // waitForChange blocks until changed is closed or, unless it is zero, nextArrival is reached. It
 // returns os.ErrDeadlineExceeded if expired is closed.
 func waitForChange(changed <-chan struct{}, nextArrival time.Time, expired <-chan struct{}) error {
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// DialWithTimeout is like Dial, but the connections are reset if they are stalled for the timeout after a write, like
+// those of TCP with a user timeout.
+func (n *Network) DialWithTimeout(from netip.Addr, timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := n.Dial(from)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := dial(ctx, network, address)
+		if c, ok := opened.(*conn); ok && err == nil {
+			c.userTimeout = timeout
+		}
+		return opened, err
+	}
+}
+
 // Listen opens a listening port on a host. It fails with EADDRINUSE if the port is already open.
 func (n *Network) Listen(_, address string) (net.Listener, error) {
 	addrPort, err := netip.ParseAddrPort(address)
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -183,7 +183,8 @@
 	n.Log.SetOutput(io.Discard)
 	n.startCount++
 	options := runner.Options{
-		Settings: n.Settings, Dial: n.simulator.Network.Dial(n.Host), Listen: n.simulator.Network.Listen,
+		Settings: n.Settings, Dial: n.simulator.Network.Dial(n.Host),
+		BackendDial: n.simulator.Network.DialWithTimeout(n.Host, eelgrasspoint.BackendSilenceLimit), Listen: n.simulator.Network.Listen,
 		Log: n.Log, Clock: time.Now, Seed: uint64(len(n.simulator.Nodes))*1000 + n.startCount, Table: n.newTable,
 	}
 	if n.simulator.options.Chooser != nil {
--- a/transport/opener/opener.go
+++ b/transport/opener/opener.go
@@ -30,6 +30,18 @@
 	}}
 }
 
+// NewWithTimeout returns an opener of connections that fail once sent data stays unacknowledged for the timeout, which may
+// be shorter than a second. It sends no probes, so that an idle connection that is dead fails with its next request.
+func NewWithTimeout(timeout time.Duration) *Opener {
+	return &Opener{dialer: net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: false},
+		KeepAlive:       -1,
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			return setUserTimeout(conn, timeout)
+		},
+	}}
+}
+
 // DialContext opens a connection.
 func (o *Opener) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return o.dialer.DialContext(ctx, network, address)
--- a/transport/opener/opener_test.go
+++ b/transport/opener/opener_test.go
@@ -21,6 +21,12 @@
 	}
 }
 
+// TestUnacknowledgedDataShowsInTime guards against a request that waits for its deadline on a dead connection.
+func TestUnacknowledgedDataShowsInTime(t *testing.T) {
+	options := socketOptions(t, opener.NewWithTimeout(300*time.Millisecond))
+	assert.Equal(t, time.Duration(options[unix.TCP_USER_TIMEOUT])*time.Millisecond, 300*time.Millisecond)
+}
+
 // socketOptions returns the TCP options of a connection that the opener opens.
 func socketOptions(t *testing.T, o *opener.Opener) map[int]int {
 	t.Helper()
