--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -44,6 +44,8 @@
 	Full bool
 	// FailFast makes the backend server answer every request with status 500 at once.
 	FailFast bool
+	// Hang is the share of the requests that the backend server accepts and never answers.
+	Hang float64
 	// Drop makes the backend server close the connection without an answer after it has run a request.
 	Drop bool
 	// RateLimit, unless zero, is the number of requests per second that the backend server names as its limit in its
@@ -138,6 +140,10 @@
 		w.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusInternalServerError}[behavior.Full])
 		return
 	}
+	if rand.Float64() < behavior.Hang {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if !b.run(r, duration) {
 		return
 	}
--- a/standin/soak/limit.go
+++ b/standin/soak/limit.go
@@ -14,8 +14,7 @@
 // Limits that backend servers name, and the bound on the requests that they then get: in any limitWindow, limitFactor
 // times what the limit allows, and limitSlack more.
 const (
-	// limitsPerSecond is the mean rate of the events. They have a generator of their own, so that the other events of a
-	// seed stay the same.
+	// limitsPerSecond is the mean rate of the events.
 	limitsPerSecond       = 0.15
 	minLimit, limitSpread = 2, 15
 	// limitLasts is added to the drawn duration; limitLearned is the time in which the nodes have to learn the limit.
@@ -28,15 +27,19 @@
 
 // drawLimits draws the limit events of a seed.
 func drawLimits(seed uint64, duration time.Duration, nodes int) []Event {
-	random := rand.New(rand.NewPCG(seed, ^uint64(nodes)))
+	return drawEvents(limitName, limitsPerSecond, rand.New(rand.NewPCG(seed, ^uint64(nodes))), duration, nodes)
+}
+
+// drawEvents draws the events of one name, with a generator of their own.
+func drawEvents(name string, perSecond float64, random *rand.Rand, duration time.Duration, nodes int) []Event {
 	var events []Event
 	for at := time.Duration(0); ; {
-		at += time.Duration(random.ExpFloat64() / limitsPerSecond * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
 		if at >= duration {
 			return events
 		}
 		events = append(events, Event{
-			Name: limitName, At: at, VM: random.IntN(nodes), Figure: random.IntN(1 << 16),
+			Name: name, At: at, VM: random.IntN(nodes), Figure: random.IntN(1 << 16),
 			Lasts: time.Duration(random.Int64N(int64(maxEventDuration))),
 		})
 	}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -56,8 +56,12 @@
 	{name: "store", run: disturbStore},
 }
 
-// limitAction is not drawn from actions, see limitsPerSecond.
-var limitAction = action{name: limitName, planned: true, run: limitBackend}
+// rareActions are not drawn from actions: their events have generators of their own, so that the other events of a
+// seed stay the same.
+var rareActions = []action{
+	{name: limitName, planned: true, run: limitBackend},
+	{name: hangName, run: hangBackend},
+}
 
 // Rate and duration of the events of a schedule.
 const (
@@ -90,6 +94,7 @@
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if at >= duration {
 			events = append(events, drawLimits(seed, duration, nodes)...)
+			events = append(events, drawHangs(seed, duration, nodes)...)
 			slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 			return events
 		}
@@ -124,7 +129,7 @@
 // runEvent runs the action of one event and, unless it is planned, marks the VM as disturbed meanwhile.
 func (s *Soak) runEvent(e Event) {
 	v := s.vms[e.VM]
-	for _, a := range append([]action{limitAction}, actions...) {
+	for _, a := range slices.Concat(rareActions, actions) {
 		if a.name != e.Name {
 			continue
 		}
