A request that may wait goes to a server without a pause first

Cause: since requests wait at cold servers, a request that may wait ignored the pauses of all load hints, those of rate limits included: after the refusals of the full server it went to the limited one, which never lets it wait, rather than wait at the full one. Change: servers with a pause come after all others. Test red before.

--- a/coordination/chooser/chooser.go
+++ b/coordination/chooser/chooser.go
@@ -46,6 +46,7 @@
 	{accepts: localWithRoom},
 	{accepts: remoteWithRoom},
 	{accepts: localHealthy},
+	{accepts: localSoon},
 	{accepts: localOrSpill, firstAttemptOnly: true},
 }
 
@@ -79,18 +80,21 @@
 	if c.Region == requirements.Region || !requirements.SpillAllowed {
 		return false
 	}
-	return !c.Gauge.Ejected(now) && !paused(c, requirements, now) && hasRoom(c, now)
+	return !c.Gauge.Ejected(now) && !paused(c, now) && hasRoom(c, now)
 }
 
 func localHealthy(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
-	return c.Region == requirements.Region && !c.Gauge.Ejected(now) && !paused(c, requirements, now)
+	return c.Region == requirements.Region && !c.Gauge.Ejected(now) && !paused(c, now)
 }
 
-// paused reports whether the candidate takes no request yet, by its last load hint, and the attempt can't wait there.
-func paused(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
-	return !requirements.Queues && c.Gauge.PauseLeft(now) > 0
+// localSoon accepts candidates in this node's region that take no request yet, for an attempt that may wait there.
+func localSoon(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, now time.Time) bool {
+	return requirements.Queues && c.Region == requirements.Region && !c.Gauge.Ejected(now)
 }
 
+// paused reports whether the candidate takes no request yet, by its last load hint.
+func paused(c *eelgrasspoint.Candidate, now time.Time) bool { return c.Gauge.PauseLeft(now) > 0 }
+
 // localOrSpill accepts candidates in this node's region, and in other regions if requests may spill over.
 func localOrSpill(c *eelgrasspoint.Candidate, requirements *eelgrasspoint.Requirements, _ time.Time) bool {
 	return c.Region == requirements.Region || requirements.SpillAllowed
--- a/coordination/chooser/chooser_test.go
+++ b/coordination/chooser/chooser_test.go
@@ -141,3 +141,15 @@
 	queued.AvailabilityZone = "c"
 	assert.Equal(t, countChoices(list, queued)[short], 1000)
 }
+
+// TestPauseIsWaitedForOnlyWithoutOtherChoice guards against a request that may wait and is sent to a server whose limit takes
+// nothing for now, while another one could queue it.
+func TestPauseIsWaitedForOnlyWithoutOtherChoice(t *testing.T) {
+	limited, busy := newCandidate("here", "a"), newCandidate("here", "b")
+	limited.Gauge.SetLoad(eelgrasspoint.Load{Limit: 10, Pause: 5 * time.Millisecond}, now)
+	busy.Gauge.SetLoad(eelgrasspoint.Load{InUse: 10, Limit: 10, Queued: 2}, now)
+	requirements := newRequirements(&eelgrasspoint.RequestMetadata{})
+	requirements.Tried, requirements.Queues = []*eelgrasspoint.Candidate{newCandidate("here", "a")}, true
+	assert.Equal(t, countChoices([]*eelgrasspoint.Candidate{limited, busy}, requirements)[busy], 1000)
+	assert.Equal(t, countChoices([]*eelgrasspoint.Candidate{limited}, requirements)[limited], 1000)
+}
