--- a/request.go
+++ b/request.go
@@ -139,7 +139,7 @@
 	// for.
 	SpillAllowed bool
 	// Queues is set if the attempt may wait at its exit node, so that a candidate that takes no request yet is
-	// as good as its pause is short.
+	// better than none.
 	Queues bool
 }
 
