--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -44,7 +44,7 @@
 	trialsToRecover = 8
 )
 
-// Detector decides for one backend server. It answers servers that hang for a part of their requests or for all, while
+// Detector decides for one backend server. It is made for servers that hang for a part of their requests or for all, while
 // their health checks pass, so that requests which can't be repeated go elsewhere before they are lost. It is safe for
 // concurrent use.
 type Detector struct {
--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -55,10 +55,11 @@
 	}
 }
 
-// newAttempt counts a new attempt and returns its metadata. Insists asks the exit node to queue the request
-// rather than to refuse it. Insists is set once queueRequested is set, if queueing costs less than a refusal
-// and another attempt, if the candidate takes no request at the moment, so that no other one does, or if the budget of redirects (attempts after one that reached no backend server) is
-// used up. A refusal would still cause a redirect then, since tryRetry allows redirects without budget.
+// newAttempt counts a new attempt and returns its metadata. Insists asks the exit node to queue the request rather than to
+// refuse it. It is set once queueRequested is set, if queueing costs less than a refusal and another attempt, if the
+// candidate takes no request at the moment, so that no other one does, or if the budget of redirects (attempts after one
+// that reached no backend server) is used up. A refusal would still cause a redirect then, since tryRetry allows
+// redirects without budget.
 func (p *proxiedRequest) newAttempt(candidate *eelgrasspoint.Candidate) eelgrasspoint.RequestMetadata {
 	p.tried = append(p.tried, candidate)
 	meta := p.meta
