--- a/review/_cases/instance.go
+++ b/review/_cases/instance.go
@@ -59,9 +59,9 @@
 	reportTo string
 	// sheds reports whether a request is refused as not executed although a slot is free; it may be nil.
 	sheds func(request *http.Request) bool
-	// repeatsLate makes the instance send a second copy of a refusal at the point where the next answer on the
-	// connection is expected.
-	repeatsLate bool
+	// repeatsLate reports whether the instance sends additional bytes after a refusal, late, at the point where the
+	// next answer on the connection is expected; it may be nil.
+	repeatsLate func() bool
 	// answer replaces the bytes of the answer of a run; it may be nil.
 	answer func(request *http.Request, body []byte) []byte
 }
@@ -129,7 +129,7 @@
 			return
 		}
 		if len(repeat) > 0 {
-			i.options.record.note("instance %s sends the second copy of its refusal late, beside %s", i.options.id, request.Header.Get("X-Request-Id"))
+			i.options.record.note("instance %s sends its refusal a second time, late, when %s has arrived", i.options.id, request.Header.Get("X-Request-Id"))
 			if _, err := conn.Write(repeat); err != nil {
 				return
 			}
@@ -142,8 +142,8 @@
 		if _, err := conn.Write(answer); err != nil {
 			return
 		}
-		if refused && i.options.repeatsLate {
-			repeat = answer
+		if refused && i.options.repeatsLate != nil && i.options.repeatsLate() {
+			repeat = refusalWithoutID
 		}
 	}
 }
@@ -162,9 +162,12 @@
 	return []byte("HTTP/1.1 " + status + "\r\nX-Instance-Id: " + i.options.id + "\r\nX-Instance-Load: " + i.load() + "\r\nContent-Length: 0\r\n\r\n")
 }
 
-// notExecuted is the answer to a request that the instance does not run, as `fleetbench wire` shows it.
-func notExecuted() []byte {
-	return []byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+// refusalWithoutID is the answer of an instance that sheds, as `fleetbench wire` shows it.
+var refusalWithoutID = []byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+
+// refusal is the answer to a request that the instance does not run. It echoes the identifier.
+func refusal(id string) []byte {
+	return []byte("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 // handle returns the answer, or nil if the connection is to be closed, and whether the request was refused.
@@ -172,12 +175,12 @@
 	id := request.Header.Get("X-Request-Id")
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != i.options.id {
 		i.arrive(request, body, false)
-		return []byte("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + i.options.id + "\r\nContent-Length: 0\r\n\r\n"), true
+		return []byte("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id + "\r\nX-Instance-Id: " + i.options.id + "\r\nContent-Length: 0\r\n\r\n"), true
 	}
 	full := int(i.waiting.Load()) >= 2*i.options.slots
 	if full || i.options.sheds != nil && i.options.sheds(request) {
 		i.arrive(request, body, false)
-		return notExecuted(), true
+		return refusal(id), true
 	}
 	i.waiting.Add(1)
 	i.slots <- struct{}{}
