--- a/review/_cases/client.go
+++ b/review/_cases/client.go
@@ -53,12 +53,12 @@
 	}
 	request.ContentLength = int64(len(body))
 	request.Host = host
-	request.Header.Set("X-Request-Id", r.id)
-	request.Header.Set("X-Deadline-Milliseconds", milliseconds(deadline))
+	request.Header.Set(wire.Headers.RequestID, r.id)
+	request.Header.Set(wire.Headers.Deadline, milliseconds(deadline))
 	c.record.note("client on %s sends %s %s %s", c.machine.name, r.id, method, path)
 	response, err := c.http.Do(request)
 	if err == nil {
-		r.status, r.stamp = response.StatusCode, response.Header.Get("X-Server-Stamp")
+		r.status, r.stamp = response.StatusCode, response.Header.Get(wire.Headers.Stamp)
 		r.body, err = io.ReadAll(response.Body)
 		response.Body.Close()
 	}
--- a/review/_cases/cluster.go
+++ b/review/_cases/cluster.go
@@ -151,7 +151,7 @@
 // isReady asks the node as the platform does.
 func (m *machine) isReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: oneCallClient.Transport}
-	response, err := client.Get("http://" + m.ready + "/api/readiness")
+	response, err := client.Get("http://" + m.ready + wire.Paths.Readiness)
 	if err != nil {
 		return false
 	}
@@ -222,17 +222,17 @@
 	known := make(map[string]bool)
 	for n, r := range routes {
 		rules = append(rules, map[string]any{
-			"Name": fmt.Sprintf("r-%d", n), "Kind": r.kind, "TargetLatencyS": r.target, "Priority": r.priority,
+			"Name": fmt.Sprintf("r-%d", n), "Kind": r.kind, "Target": r.target, "Priority": r.priority,
 			"Match": map[string]any{"Prefix": r.prefix},
 			"Action": map[string]any{
-				"Service": r.service, "TimeoutS": r.timeout, "MaxAttempts": r.attempts, "AllowedRegions": []string{},
+				"Service": r.service, "TimeoutS": r.timeout, "MaxAttempts": r.attempts, "HomeRegions": []string{},
 			},
 		})
 		if !known[r.service] {
 			known[r.service] = true
 			clusters = append(clusters, map[string]any{
-				"Name": r.service, "HealthCheckPath": healthPath, "MaxConnections": 260, "Protocol": "h1", "Tls": false,
-				"ColdStartS": 3.0, "ColdPerS": 37.0,
+				"Name": r.service, "HealthPath": healthPath, "MaxConnections": 260, "Protocol": "h1", "Tls": false,
+				"ColdStart": 3.0, "ColdRate": 37.0,
 			})
 		}
 	}
--- a/review/_cases/writer.go
+++ b/review/_cases/writer.go
@@ -42,7 +42,7 @@
 	if trouble {
 		foreign := leaving.report("ready")
 		delete(foreign, "born")
-		foreign["Status"] = map[string]any{"State": "ready", "Sequence": 100000, "ColdRemainingS": 0}
+		foreign["Status"] = map[string]any{"State": "ready", "Sequence": 100000, "Cold": 0}
 		c.record.note("another writer sends a report without the field born")
 		leaving.send(http.MethodPut, foreign)
 	}
