An operator's drain is answered once it is in force

What callers saw: after `eelgrassctl drain` had ended, requests could still reach the server, for as long as the control goroutine took to get to the command.

Cause: Operator.Drain submitted the command and answered without waiting for it. A node that was killed between the two had acknowledged a drain that never was.

Change: it waits until the command is applied and published, and answers Unavailable if the node stops before that.

Evidence: TestDrainIsAnsweredOnceItIsInForce failed before ("answered before the control goroutine runs") and passes now. That the drain lasts until the node restarts is as documented and unchanged.

--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/twitchtv/twirp"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/committer"
@@ -227,9 +228,12 @@
 	group.Wait()
 }
 
-// Drain starts to drain the backend server beside this node, which then gets no new requests.
+// Drain drains the backend server beside this node, which gets no new requests from then on.
 func (o *Operator) Drain(context.Context, *schema.DrainRequest) (*schema.DrainResponse, error) {
 	o.options.Controller.Submit(controller.Drain{})
+	if !o.options.Controller.WaitApplied() {
+		return nil, twirp.Unavailable.Error("the node stops")
+	}
 	return &schema.DrainResponse{}, nil
 }
 
