A backend server that has left stays out after a restart of its node

Cause: `lifetime` kept departures in the memory of one process, while the acknowledgement binds the node. No row and no other node had them, and a process that had just started began a lifetime with any announcement.

BackendAnnounced came 1.7 s after NodeStarted, in the millisecond of the late announcement, with no AnnouncementStale; without the kill, the same announcement was recorded as stale. Ruled out: gossip that the kill cut off (no booking before that moment), discovery by health check (it answers 503, and comes 0.1 s after a start).

Change: departures (identifier, incarnation, time) are part of the node's entry, which other nodes keep when the entry of the next process replaces it, and rows of the table service, one each. The announcement is acknowledged once one of the two holds it; otherwise it gets 503, though the departure is in force. A new process holds announcements of ready servers until it has read its rows or synchronized with a node that has joined. It holds for each way to say it: an announcement, a deregistration with or without incarnation, an answer. The next lifetime is used at once.

Why it works: whatever was acknowledged is outside the process by then, and nothing is used before it has been looked up.

TestEventCatalogue now ends with the last of four new events.

The registration in the project's own form is acknowledged in the same way; it was answered before it was in force.

--- a/coordination/controller/commands.go
+++ b/coordination/controller/commands.go
@@ -8,16 +8,28 @@
 )
 
 // ApplyAnnouncement applies an announcement of the local backend server. An announcement that is late
-// or belongs to an earlier or deregistered lifetime is recorded and ignored.
+// or belongs to an earlier or departed lifetime is recorded and ignored. One that is held until the departures are
+// restored has no effect until then.
 type ApplyAnnouncement struct{ eelgrasspoint.Announcement }
 
 func (a ApplyAnnouncement) apply(c *Controller) {
-	if !c.lifetime.accept(&a.Announcement, c.options.Clock()) {
+	if c.holds(&a.Announcement) {
+		c.hold(a)
+		return
+	}
+	accepted := c.lifetime.accept(&a.Announcement, c.options.Clock())
+	c.setDepartures()
+	if !accepted {
 		c.record(eelgrasspoint.EventAnnouncementStale, "", c.self.AvailabilityZone, fmt.Sprintf(
-			"ignored announcement or deregistration of %q, incarnation %d, sequence %d: late, or of an earlier or deregistered lifetime; current: %q, incarnation %d, sequence %d",
+			"ignored announcement or deregistration of %q, incarnation %d, sequence %d: late, or of an earlier or departed lifetime; current: %q, incarnation %d, sequence %d",
 			a.ID, a.Incarnation, a.Sequence, c.lifetime.id, c.lifetime.incarnation, c.lifetime.sequence))
 		return
 	}
+	a.applyAccepted(c)
+}
+
+// applyAccepted puts the backend server of an accepted announcement in the node's entry, or removes it.
+func (a ApplyAnnouncement) applyAccepted(c *Controller) {
 	if a.Backend != nil {
 		backend := *a.Backend
 		// Without an ID, the incarnation of the backend server's announcement is kept.
@@ -62,13 +74,9 @@
 	if backend == nil || backend.Incarnation != m.Backend.Incarnation || backend.Address != m.Backend.Address || backend.ID != m.Backend.ID {
 		return
 	}
-	c.lifetime.leaving = backend.ID != "" || backend.Incarnation != 0
-	if backend.Draining {
-		return
-	}
-	draining := *backend
-	draining.Draining = true
-	c.setBackend(&draining)
+	c.lifetime.setLeaving(c.options.Clock())
+	c.setDepartures()
+	c.drainBackend()
 }
 
 // MergeMembers merges member entries received from another node or the table service. An entry that
@@ -84,11 +92,15 @@
 
 func (c *Controller) mergeMember(m eelgrasspoint.Member) {
 	if m.Name == c.self.Name {
+		c.learnDepartures(m.Departures)
 		c.refute(m)
 		return
 	}
 	old, known := c.members[m.Name]
+	m.Departures = eelgrasspoint.MergeDepartures(old.Departures, m.Departures)
 	if known && !m.Supersedes(old) {
+		old.Departures = m.Departures
+		c.members[m.Name] = old
 		return
 	}
 	if !known && !m.Alive() {
@@ -258,11 +270,7 @@
 func (Drain) apply(c *Controller) {
 	c.draining = true
 	c.record(eelgrasspoint.EventDrainRequested, "", c.self.AvailabilityZone, "")
-	if b := c.self.BackendServer; b != nil {
-		draining := *b
-		draining.Draining = true
-		c.setBackend(&draining)
-	}
+	c.drainBackend()
 }
 
 // Leave marks the node as left and draining. Done is closed once the view with the updated entry is
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -45,6 +45,11 @@
 	// remoteOffset rotates the heartbeat targets in other regions.
 	remoteOffset int
 	lifetime     lifetime
+	// restored is set once the departures that an earlier process of the node recorded are known, or none can be in
+	// force any more.
+	restored bool
+	// held are the announcements that wait for restored, in order of arrival.
+	held []ApplyAnnouncement
 }
 
 // Options are the settings and dependencies of a controller.
@@ -58,6 +63,9 @@
 	SetBackend func(*eelgrasspoint.BackendServer)
 	// SetCold receives the remaining time of the backend server's slow start; it is optional.
 	SetCold func(time.Duration)
+	// Restoring holds announcements until EndRestore, since an earlier process of the node may have acknowledged that
+	// their lifetime leaves.
+	Restoring bool
 	// AnnouncementTTL is how long an announcement stays valid; zero means the default.
 	AnnouncementTTL time.Duration
 	// ZoneBack is called when the node's availability zone is in service again; it is optional.
@@ -87,6 +95,7 @@
 		statsIncarnation: make(map[string]uint64),
 		gossipUntil:      make(map[string]time.Time),
 		configuration:    &eelgrasspoint.Configuration{},
+		restored:         !options.Restoring,
 	}
 	c.router = router.New(&c.configuration.Document)
 	c.members[c.self.Name] = c.self
--- a/coordination/controller/lifetime.go
+++ b/coordination/controller/lifetime.go
@@ -14,50 +14,32 @@
 type lifetime struct {
 	id          string
 	incarnation uint64
+	// counted is set if the incarnation was not announced, but counted by this process.
+	counted bool
 	// sequence is that of the last applied announcement, deregistrations excepted; zero means
 	// unknown.
 	sequence uint64
 	// draining is set once a lifetime with an ID announced that it is draining; it stays set until
 	// another lifetime begins.
 	draining bool
-	// leaving is set once an answer of a lifetime with an ID or an incarnation said that it leaves; it stays set until
-	// another lifetime begins.
+	// leaving is set once an answer of a lifetime with an ID or an incarnation said that it leaves, or once an earlier
+	// process of the node is known to have recorded it; it stays set until another lifetime begins.
 	leaving bool
 	// deregistered is set by a deregistration of the current lifetime. Later announcements of that
 	// lifetime are ignored if it has an ID or an incarnation.
 	deregistered bool
-	// tombstones are the latest deregistrations with an ID but without an incarnation, oldest first.
-	tombstones []tombstone
-}
-
-// tombstone records a deregistration with an ID but without an incarnation, so that a late
-// announcement of the deregistered lifetime is ignored. The current lifetime is not enough for that:
-// a node that has just started has none.
-type tombstone struct {
-	id string
-	at time.Time
+	// departures are the lifetimes that left, also those that an earlier process of the node knew, oldest first.
+	departures []eelgrasspoint.Departure
 }
 
-// Bounds on tombstones.
-const (
-	// tombstoneTTL is longer than the delay of any announcement, which is a few seconds.
-	tombstoneTTL = 30 * time.Second
-	// maxTombstones is the number of stored tombstones, beyond which the oldest is deleted.
-	maxTombstones = 8
-)
-
-// accept applies the announcement unless it is late or belongs to an earlier or deregistered
-// lifetime, and reports whether it was applied.
+// accept applies the announcement unless it is late or belongs to an earlier or departed lifetime, and reports
+// whether it was applied.
 func (l *lifetime) accept(a *eelgrasspoint.Announcement, now time.Time) bool {
 	if a.Backend == nil {
 		return l.deregister(a, now)
 	}
-	if l.hasTombstone(a, now) {
-		return false
-	}
 	if l.beginsLifetime(a) {
-		l.begin(a)
-		return true
+		return l.begin(a, now)
 	}
 	if !l.isCurrent(a) || l.deregistered && identifiesLifetime(a) {
 		return false
@@ -67,7 +49,7 @@
 	}
 	l.sequence = a.Sequence
 	l.deregistered = false
-	l.draining = a.ID != "" && (l.draining || a.Backend.Draining)
+	l.setDraining(a, now)
 	return true
 }
 
@@ -91,57 +73,95 @@
 	return a.ID == l.id
 }
 
-// begin replaces the current lifetime and keeps the tombstones.
-func (l *lifetime) begin(a *eelgrasspoint.Announcement) {
+// begin replaces the current lifetime and reports true, unless the announced lifetime has left.
+func (l *lifetime) begin(a *eelgrasspoint.Announcement, now time.Time) bool {
+	if l.hasLeft(a, now) {
+		return false
+	}
 	incarnation := a.Incarnation
 	if incarnation == 0 {
 		incarnation = l.incarnation + 1
 	}
 	*l = lifetime{
-		id: a.ID, incarnation: incarnation, sequence: a.Sequence, draining: a.ID != "" && a.Backend.Draining,
-		tombstones: l.tombstones,
+		id: a.ID, incarnation: incarnation, counted: a.Incarnation == 0, sequence: a.Sequence, departures: l.departures,
+	}
+	l.setDraining(a, now)
+	return true
+}
+
+// setDraining applies the state in an announcement of the current lifetime.
+func (l *lifetime) setDraining(a *eelgrasspoint.Announcement, now time.Time) {
+	wasDraining := l.draining
+	l.draining = a.ID != "" && (l.draining || a.Backend.Draining)
+	if l.draining && !wasDraining {
+		l.depart(now)
 	}
 }
 
+// setLeaving records that an answer of the current lifetime said that it leaves.
+func (l *lifetime) setLeaving(now time.Time) {
+	l.leaving = identifiesLifetime(l.identity())
+	l.depart(now)
+}
+
 // deregister reports whether a deregistration takes effect, and marks the current lifetime as
 // deregistered if so. A deregistration of the current or a later lifetime takes effect, as does one
 // without an incarnation if it or the current lifetime has no ID.
 func (l *lifetime) deregister(a *eelgrasspoint.Announcement, now time.Time) bool {
-	if a.Incarnation == 0 && a.ID != "" {
-		l.addTombstone(a.ID, now)
-		if l.id == "" {
-			// The current lifetime has no ID, so it is unknown whether it is the deregistered one, and
-			// it is not marked. Only the tombstone keeps out late announcements of the deregistered
-			// one.
-			return true
-		}
+	if identifiesLifetime(a) {
+		l.addDeparture(eelgrasspoint.Departure{ID: a.ID, Incarnation: a.Incarnation, At: now})
+	}
+	if a.Incarnation == 0 && a.ID != "" && l.id == "" {
+		// The current lifetime has no ID, so it is unknown whether it is the deregistered one, and it is
+		// not marked. Only the departure keeps out late announcements of the deregistered one.
+		return true
 	}
 	if a.Incarnation != 0 && a.Incarnation < l.incarnation {
 		return false
 	}
 	if a.Incarnation > l.incarnation {
-		*l = lifetime{id: a.ID, incarnation: a.Incarnation, tombstones: l.tombstones}
+		*l = lifetime{id: a.ID, incarnation: a.Incarnation, departures: l.departures}
 	} else if a.ID != "" && a.ID != l.id {
 		return false
 	}
 	l.deregistered = true
+	l.depart(now)
 	return true
 }
 
-func (l *lifetime) addTombstone(id string, now time.Time) {
-	l.tombstones = slices.DeleteFunc(l.tombstones, func(t tombstone) bool { return t.id == id })
-	l.tombstones = append(l.tombstones, tombstone{id: id, at: now})
-	if len(l.tombstones) > maxTombstones {
-		l.tombstones = l.tombstones[1:]
+// identity returns what announcements of the current lifetime say of it.
+func (l *lifetime) identity() *eelgrasspoint.Announcement {
+	if l.counted {
+		return &eelgrasspoint.Announcement{ID: l.id}
+	}
+	return &eelgrasspoint.Announcement{ID: l.id, Incarnation: l.incarnation}
+}
+
+// depart records that the current lifetime leaves, if it can be told from others.
+func (l *lifetime) depart(now time.Time) {
+	if current := l.identity(); identifiesLifetime(current) {
+		l.addDeparture(eelgrasspoint.Departure{ID: current.ID, Incarnation: current.Incarnation, At: now})
 	}
 }
 
-// hasTombstone reports whether the announcement belongs to a lifetime that began before a
-// deregistration with the same ID less than tombstoneTTL ago. The incarnation of a backend server
-// with an ID is its start time in Unix milliseconds; a lifetime without an incarnation is assumed to
-// have begun before the deregistration.
-func (l *lifetime) hasTombstone(a *eelgrasspoint.Announcement, now time.Time) bool {
-	return slices.ContainsFunc(l.tombstones, func(t tombstone) bool {
-		return t.id == a.ID && a.Incarnation <= uint64(t.at.UnixMilli()) && now.Sub(t.at) < tombstoneTTL
-	})
+func (l *lifetime) addDeparture(d eelgrasspoint.Departure) {
+	l.departures = eelgrasspoint.MergeDepartures(l.departures, []eelgrasspoint.Departure{d})
+}
+
+// learn adds departures that an earlier process of the node recorded. It reports whether they show that the current
+// lifetime leaves, which is then marked as leaving.
+func (l *lifetime) learn(departures []eelgrasspoint.Departure, now time.Time) bool {
+	current := l.identity()
+	known := !identifiesLifetime(current) || l.hasLeft(current, now)
+	l.departures = eelgrasspoint.MergeDepartures(l.departures, departures)
+	if known || !l.hasLeft(current, now) {
+		return false
+	}
+	l.leaving = true
+	return true
+}
+
+// hasLeft reports whether the announcement belongs to a lifetime that left.
+func (l *lifetime) hasLeft(a *eelgrasspoint.Announcement, now time.Time) bool {
+	return slices.ContainsFunc(l.departures, func(d eelgrasspoint.Departure) bool { return d.Covers(a, now) })
 }
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -23,9 +23,15 @@
 
 func (discardRecorder) Record(eelgrasspoint.Event) {}
 
-func newNode() *node {
+func newNode() *node { return newNodeWith(false) }
+
+// newRestoringNode returns a node that does not know yet which lifetimes left.
+func newRestoringNode() *node { return newNodeWith(true) }
+
+func newNodeWith(restoring bool) *node {
 	n := &node{}
 	n.Controller = controller.New(controller.Options{
+		Restoring:  restoring,
 		Self:       eelgrasspoint.Member{Name: "self", Region: "r", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")},
 		Holder:     holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}}),
 		Recorder:   discardRecorder{},
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -39,6 +40,8 @@
 	StartFetch func(m eelgrasspoint.Member, after uint64)
 	// Events returns the recorded events that match the request.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
+	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
+	Settled func() bool
 	// Crashed handles a crash report of another exit node. The crash is named by that node and the
 	// incarnation of its backend server. The fingerprints are those of the requests that were in
 	// flight at the crash and are permitted in this region.
@@ -119,12 +122,24 @@
 	return translator.ConfigurationMessage(configuration), nil
 }
 
-// Members returns the members in the buckets whose digests differ from the caller's.
+// Members returns the members in the buckets whose digests differ from the caller's, and the caller's own entry if
+// it has departures, which the caller's process may not know.
 func (e *Exchanger) Members(_ context.Context, request *schema.MembersRequest) (*schema.MembersResponse, error) {
 	known := e.options.Controller.View().Members
 	differing := assigner.DifferingBuckets(known, request.GetDigests())
-	members := assigner.MembersInBuckets(known, differing)
-	return &schema.MembersResponse{Members: translator.MemberMessages(members), Buckets: differing}, nil
+	members := append(assigner.MembersInBuckets(known, differing), withDepartures(known, request.GetFrom())...)
+	return &schema.MembersResponse{
+		Members: translator.MemberMessages(members), Buckets: differing, Settled: e.options.Settled(),
+	}, nil
+}
+
+// withDepartures returns the entry of the named member if it has departures.
+func withDepartures(members []eelgrasspoint.Member, name string) []eelgrasspoint.Member {
+	i := slices.IndexFunc(members, func(m eelgrasspoint.Member) bool { return m.Name == name })
+	if i < 0 || len(members[i].Departures) == 0 {
+		return nil
+	}
+	return members[i : i+1]
 }
 
 // Events returns the recorded events that match the request.
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -43,7 +43,7 @@
 	e := exchanger.New(exchanger.Options{
 		Cluster: "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
 		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
-		StartFetch: func(eelgrasspoint.Member, uint64) {}, Tracker: tracker.New(), Clock: time.Now,
+		StartFetch: func(eelgrasspoint.Member, uint64) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
 	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request schema.ConverseRequest
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -50,6 +50,9 @@
 	Clock eelgrasspoint.Clock
 	// Tracker remembers which updates other nodes have.
 	Tracker *tracker.Tracker
+	// Settled is called with the name of the source once this node knows the members as well as a node that has
+	// joined.
+	Settled func(source string)
 	// Refreshed is called with the local time after each round of heartbeats if the control state is
 	// fresh.
 	Refreshed func(time.Time)
--- a/coordination/observer/synchronization.go
+++ b/coordination/observer/synchronization.go
@@ -51,11 +51,14 @@
 }
 
 // SyncMembers reconciles this node's members with those of another node by bucket digests. It
-// reports whether the other node answered.
+// reports whether the other node answered. If that node has joined, the departures that it sent of this node are all
+// that are known, and the restore ends.
 func (o *Observer) SyncMembers(ctx context.Context, m eelgrasspoint.Member) bool {
 	o.options.Meter.CountExchange("Members")
 	own := o.options.Controller.View().Members
-	response, err := o.client(m).Members(ctx, &schema.MembersRequest{Digests: assigner.BucketDigests(own)})
+	response, err := o.client(m).Members(ctx, &schema.MembersRequest{
+		Digests: assigner.BucketDigests(own), From: o.options.Controller.View().Self.Name,
+	})
 	if err != nil {
 		return false
 	}
@@ -63,6 +66,9 @@
 	o.options.Tracker.Forget(m.Name)
 	members, _ := translator.Members(response.GetMembers())
 	o.options.Controller.Submit(controller.MergeMembers{Members: members})
+	if response.GetSettled() {
+		o.options.Settled("node " + m.PeerAddress.String())
+	}
 	o.options.Controller.Submit(controller.Rebroadcast{Names: newerThan(assigner.MembersInBuckets(own, response.GetBuckets()), members)})
 	return true
 }
--- a/errors.go
+++ b/errors.go
@@ -107,6 +107,23 @@
 	return fmt.Sprintf("write rejected: a row is not at the expected version (row %q, current version %d)", e.Key, e.Version)
 }
 
+// NotReplicatedError is returned for a departure that is not kept outside the node's process, so that it must not be
+// acknowledged.
+type NotReplicatedError struct {
+	// Nodes is the number of other nodes that have it.
+	Nodes int
+	// Cause is the error of the table service.
+	Cause error
+}
+
+// Error implements error.
+func (e *NotReplicatedError) Error() string {
+	return fmt.Sprintf("the departure is known to %d other nodes only: %v", e.Nodes, e.Cause)
+}
+
+// Unwrap returns the error of the table service.
+func (e *NotReplicatedError) Unwrap() error { return e.Cause }
+
 // RevisionConflictError is returned for a change if the revision in force is not the expected one.
 type RevisionConflictError struct {
 	Expected uint64
--- a/event.go
+++ b/event.go
@@ -57,6 +57,10 @@
 	EventDefinitionUnread
 	EventBackendHangs
 	EventBackendAnswersAgain
+	EventDepartureReplicated
+	EventDepartureNotReplicated
+	EventDeparturesRestored
+	EventAnnouncementHeld
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/event_test.go
+++ b/event_test.go
@@ -24,7 +24,7 @@
 		assert.Equal(t, strings.Count(line, "|"), 7, line)
 		number++
 	}
-	assert.Equal(t, number, eelgrasspoint.EventBackendAnswersAgain+1, "docs/EVENTS.md has no line for event %d in order", number)
+	assert.Equal(t, number, eelgrasspoint.EventAnnouncementHeld+1, "docs/EVENTS.md has no line for event %d in order", number)
 }
 
 // TestParseNames checks that ParseReason and ParseOutcome recognize the names that nodes send to each
--- a/member.go
+++ b/member.go
@@ -46,6 +46,9 @@
 	Left             bool
 	Failed           bool
 	BackendServer    *BackendServer
+	// Departures are the latest lifetimes of the backend server that left, oldest first. Other nodes keep them when a
+	// newer entry replaces this one, since the next process of the node has to learn them.
+	Departures []Departure
 }
 
 // Supersedes reports whether m is newer than other. Only the node itself raises its incarnation
--- a/platform.go
+++ b/platform.go
@@ -28,6 +28,14 @@
 	Writes     []Write
 }
 
+// DeletionOf returns a transaction that deletes the row unless it was rewritten since it was read.
+func DeletionOf(row Row) Transaction {
+	return Transaction{
+		Conditions: []Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []Write{{Key: row.Key, Delete: true}},
+	}
+}
+
 // Table is the platform's table service, also called the store. Reads fail with *NotFoundError or
 // *UnavailableError; Commit fails with *ConflictError, *UnavailableError or, if it is unknown whether the
 // writes took effect, *UnknownOutcomeError.
--- a/protocol/registrar/registrar.go
+++ b/protocol/registrar/registrar.go
@@ -3,6 +3,7 @@
 package registrar
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -16,7 +17,7 @@
 // Registrar is an http.Handler: PUT registers the backend server or renews its registration, DELETE removes
 // it.
 type Registrar struct {
-	onChange func(*eelgrasspoint.BackendServer)
+	onChange func(context.Context, *eelgrasspoint.BackendServer) error
 	recorder eelgrasspoint.Recorder
 }
 
@@ -40,8 +41,9 @@
 )
 
 // New returns a registrar that calls onChange with each valid registration, and with nil when the backend
-// server is removed. Invalid registrations are recorded as events.
-func New(onChange func(*eelgrasspoint.BackendServer), recorder eelgrasspoint.Recorder) *Registrar {
+// server is removed. After an error of onChange it answers 503, which acknowledges nothing. Invalid registrations are
+// recorded as events.
+func New(onChange func(context.Context, *eelgrasspoint.BackendServer) error, recorder eelgrasspoint.Recorder) *Registrar {
 	return &Registrar{onChange: onChange, recorder: recorder}
 }
 
@@ -51,8 +53,7 @@
 	case http.MethodPut:
 		s.put(w, r)
 	case http.MethodDelete:
-		s.onChange(nil)
-		w.WriteHeader(http.StatusNoContent)
+		s.change(w, r, nil)
 	default:
 		w.Header().Set("Allow", "PUT, DELETE")
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -70,7 +71,15 @@
 		s.writeMistakes(w, mistakes)
 		return
 	}
-	s.onChange(backend)
+	s.change(w, r, backend)
+}
+
+// change acknowledges a registration or a removal once onChange has returned without an error.
+func (s *Registrar) change(w http.ResponseWriter, r *http.Request, backend *eelgrasspoint.BackendServer) {
+	if err := s.onChange(r.Context(), backend); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -137,6 +137,7 @@
 	member := eelgrasspoint.Member{
 		Name: m.GetName(), Region: m.GetRegion(), AvailabilityZone: m.GetAvailabilityZone(), PeerAddress: address,
 		Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Left: m.GetLeft(), Failed: m.GetFailed(),
+		Departures: departures(m.GetDepartures()),
 	}
 	if m.GetBackendServer() != nil {
 		member.BackendServer, err = backendServerFromMessage(m.GetBackendServer())
@@ -160,6 +161,7 @@
 	message := &schema.Member{
 		Name: m.Name, Region: m.Region, AvailabilityZone: m.AvailabilityZone, PeerAddress: m.PeerAddress.String(),
 		Incarnation: m.Incarnation, Version: m.Version, Left: m.Left, Failed: m.Failed,
+		Departures: mapSlice(m.Departures, DepartureMessage),
 	}
 	if b := m.BackendServer; b != nil {
 		message.BackendServer = &schema.BackendServer{
@@ -170,6 +172,21 @@
 	return message
 }
 
+// Departure converts a message to a departure.
+func Departure(m *schema.Departure) eelgrasspoint.Departure {
+	return eelgrasspoint.Departure{ID: m.GetId(), Incarnation: m.GetIncarnation(), At: time.Unix(0, int64(m.GetWall()))}
+}
+
+// DepartureMessage converts a departure to a message.
+func DepartureMessage(d eelgrasspoint.Departure) *schema.Departure {
+	return &schema.Departure{Id: d.ID, Incarnation: d.Incarnation, Wall: uint64(d.At.UnixNano())}
+}
+
+// departures converts messages to departures, at most MaxDepartures.
+func departures(list []*schema.Departure) []eelgrasspoint.Departure {
+	return mapSlice(list[max(0, len(list)-eelgrasspoint.MaxDepartures):], Departure)
+}
+
 // MemberMessages converts members to messages.
 func MemberMessages(list []eelgrasspoint.Member) []*schema.Member {
 	return mapSlice(list, MemberMessage)
--- /dev/null
+++ b/runner/announce.go
@@ -0,0 +1,48 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+
+	"eelgrasspoint"
+	"eelgrasspoint/coordination/controller"
+)
+
+// announcementHandler returns the handler of AnnounceAddress.
+func (r *Runner) announcementHandler() http.Handler {
+	if r.options.Announcements == nil {
+		return http.NotFoundHandler()
+	}
+	return r.options.Announcements(func(ctx context.Context, a eelgrasspoint.Announcement) error {
+		if a.Backend != nil {
+			a.Backend.Connections = r.maxConnections(a.Backend.Service)
+		}
+		return r.announce(ctx, a)
+	}, r.recorder)
+}
+
+// register applies a registration in the project's own form; nil means that the backend server left.
+func (r *Runner) register(ctx context.Context, backend *eelgrasspoint.BackendServer) error {
+	a := eelgrasspoint.Announcement{Backend: backend}
+	if backend != nil {
+		a.Incarnation = backend.Incarnation
+	}
+	return r.announce(ctx, a)
+}
+
+// announce applies an announcement and returns nil once it may be acknowledged: it is in force, and a departure is
+// replicated. Otherwise it returns a *eelgrasspoint.NotReplicatedError; the departure is in force all the same.
+func (r *Runner) announce(ctx context.Context, a eelgrasspoint.Announcement) error {
+	r.controller.Submit(controller.ApplyAnnouncement{Announcement: a})
+	r.controller.WaitApplied()
+	if a.Backend != nil && !a.Backend.Draining {
+		return nil
+	}
+	return r.replicator.Replicate(ctx)
+}
+
+// settle ends the restore of the departures, and this node can end that of others.
+func (r *Runner) settle(source string) {
+	r.replicator.EndRestore(source)
+	r.settled.Store(true)
+}
--- a/runner/build.go
+++ b/runner/build.go
@@ -17,6 +17,7 @@
 	"eelgrasspoint/coordination/observer"
 	"eelgrasspoint/coordination/operator"
 	"eelgrasspoint/coordination/quarantiner"
+	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/coordination/tracker"
@@ -62,6 +63,7 @@
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
 		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.InvalidateReports,
+		Restoring: true,
 	})
 	r.fetcher = fetcher.New(fetcher.Options{
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
@@ -71,8 +73,12 @@
 		Tracker: r.tracker,
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
 		Witness: r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
+		Settled: r.settle,
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
+	r.replicator = replicator.New(replicator.Options{
+		Name: r.settings.Name, Controller: r.controller, Table: r.table, Spread: r.observer.Spread, Recorder: r.recorder, Clock: clock,
+	})
 	rowPublisher := publisher.New(r.table)
 	r.staggerer = staggerer.New(eelgrasspoint.ChangesCallInterval, eelgrasspoint.MaxChangesWait)
 	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered, clock: clock}
@@ -100,13 +106,14 @@
 			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
 			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
+			Settled: r.settled.Load,
 		})),
 		operators: schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
 			Client: r.controlClient, Load: r.load, Events: r.timelineEvents, Clock: r.options.Clock,
 			Published: r.options.Source != nil,
 		})),
-		registration:  registrar.New(r.announce, r.recorder),
+		registration:  registrar.New(r.register, r.recorder),
 		readiness:     r.readinessHandler(),
 		announcements: r.announcementHandler(),
 		metrics:       promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -32,6 +32,7 @@
 		scanned := written && r.scanMembers(ctx)
 		r.syncWithMembers(ctx)
 		if scanned {
+			r.settled.Store(true)
 			break
 		}
 		r.sleepJittered(ctx, joinRetryInterval)
@@ -131,7 +132,7 @@
 func (r *Runner) memberRowKey() string { return memberRowPrefix + r.settings.Name }
 
 // maintainMemberRows rewrites this node's row about every MemberRowInterval, so that the rows of dead
-// members can be recognized by their age. It also deletes the rows of dead members.
+// members can be recognized by their age. It also deletes the rows of dead members and of old departures.
 func (r *Runner) maintainMemberRows(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.sleepJittered(ctx, eelgrasspoint.MemberRowInterval)
@@ -140,7 +141,7 @@
 	}
 }
 
-// deleteDeadMemberRows deletes the rows of dead members, which left or failed. Normally only the first
+// deleteDeadMemberRows deletes the rows of dead members, which left or failed, and those of old departures. Normally only the first
 // member alive, in the order of names, does so. It does no harm if several nodes do so at once, since a
 // row that was rewritten after it was read is kept.
 func (r *Runner) deleteDeadMemberRows(ctx context.Context) {
@@ -156,6 +157,9 @@
 	if firstAlive != r.settings.Name {
 		return
 	}
+	if err := r.replicator.DeleteExpiredRows(ctx); err != nil {
+		r.recordStoreDown(ctx, err)
+	}
 	rows, err := r.table.Scan(ctx, memberRowPrefix)
 	if err != nil {
 		r.recordStoreDown(ctx, err)
@@ -165,11 +169,7 @@
 		if !dead[strings.TrimPrefix(row.Key, memberRowPrefix)] {
 			continue
 		}
-		err := r.table.Commit(ctx, eelgrasspoint.Transaction{
-			Conditions: []eelgrasspoint.Condition{{Key: row.Key, Version: row.Version}},
-			Writes:     []eelgrasspoint.Write{{Key: row.Key, Delete: true}},
-		})
-		if err != nil {
+		if err := r.table.Commit(ctx, eelgrasspoint.DeletionOf(row)); err != nil {
 			r.record(eelgrasspoint.EventRowKept, "deletion of row "+row.Key+" of a dead member failed: "+err.Error())
 		}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"eelgrasspoint/coordination/observer"
 	"eelgrasspoint/coordination/operator"
 	"eelgrasspoint/coordination/quarantiner"
+	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/coordination/staggerer"
@@ -56,6 +57,7 @@
 	controller      *controller.Controller
 	fetcher         *fetcher.Fetcher
 	observer        *observer.Observer
+	replicator      *replicator.Replicator
 	tracker         *tracker.Tracker
 	table           eelgrasspoint.Table
 	source          eelgrasspoint.Source
@@ -72,6 +74,8 @@
 	aborted     chan struct{}
 	stopping    atomic.Bool
 	wasReady    atomic.Bool
+	// settled is set once this node has joined: it read the members' rows, or has the members of a node that is settled.
+	settled atomic.Bool
 }
 
 // Options are the settings and the dependencies of a node. Tests replace some of the dependencies.
@@ -101,7 +105,7 @@
 	TellsLoad bool
 	// Announcements and Readiness return the handlers of AnnounceAddress and ReadyAddress; both are
 	// optional.
-	Announcements func(announce func(eelgrasspoint.Announcement), recorder eelgrasspoint.Recorder) http.Handler
+	Announcements func(announce func(context.Context, eelgrasspoint.Announcement) error, recorder eelgrasspoint.Recorder) http.Handler
 	Readiness     func(ready func() bool) http.Handler
 }
 
@@ -152,6 +156,7 @@
 	go r.controller.Run(background)
 	go r.observer.Run(background)
 	go r.join(background)
+	go r.replicator.Run(background)
 	go r.followConfiguration(background)
 	go r.discoverBackend(background)
 	failed := r.servers.serve()
@@ -212,15 +217,6 @@
 
 func (r *Runner) refusedRoutes() int { return r.holder.Load().Configuration.Document.RefusedRoutes() }
 
-// announce submits an announcement of the registrar; nil means that the backend server left.
-func (r *Runner) announce(backend *eelgrasspoint.BackendServer) {
-	announcement := eelgrasspoint.Announcement{Backend: backend}
-	if backend != nil {
-		announcement.Incarnation = backend.Incarnation
-	}
-	r.controller.Submit(controller.ApplyAnnouncement{Announcement: announcement})
-}
-
 // markLeaving submits that the answers of the backend server say that it leaves.
 func (r *Runner) markLeaving(backend eelgrasspoint.BackendServer) {
 	r.controller.Submit(controller.MarkLeaving{Backend: backend})
--- a/runner/source.go
+++ b/runner/source.go
@@ -87,21 +87,6 @@
 	}
 }
 
-// announcementHandler returns the handler of AnnounceAddress, which answers once the announcement is in
-// force.
-func (r *Runner) announcementHandler() http.Handler {
-	if r.options.Announcements == nil {
-		return http.NotFoundHandler()
-	}
-	return r.options.Announcements(func(a eelgrasspoint.Announcement) {
-		if a.Backend != nil {
-			a.Backend.Connections = r.maxConnections(a.Backend.Service)
-		}
-		r.controller.Submit(controller.ApplyAnnouncement{Announcement: a})
-		r.controller.WaitApplied()
-	}, r.recorder)
-}
-
 // maxConnections returns the number of connections that a backend server of the service accepts.
 func (r *Runner) maxConnections(service string) uint32 {
 	if connections := r.serviceConfiguration(service).Connections; connections > 0 {
--- a/standin/backend/announce.go
+++ b/standin/backend/announce.go
@@ -28,8 +28,7 @@
 // ends. It ignores errors.
 func Announce(ctx context.Context, client *http.Client, control netip.AddrPort, announcement Announcement) {
 	for ctx.Err() == nil {
-		body, _ := json.Marshal(announcement)
-		callNode(ctx, client, http.MethodPut, control, body)
+		Register(ctx, client, control, announcement)
 		select {
 		case <-ctx.Done():
 		case <-time.After(announceInterval):
@@ -37,6 +36,12 @@
 	}
 }
 
+// Register announces the backend server to the node once.
+func Register(ctx context.Context, client *http.Client, control netip.AddrPort, announcement Announcement) {
+	body, _ := json.Marshal(announcement)
+	callNode(ctx, client, http.MethodPut, control, body)
+}
+
 // Deregister deregisters the backend server at the node, so that it gets no more requests. It reports
 // whether the node accepted the deregistration.
 func Deregister(client *http.Client, control netip.AddrPort) bool {
--- /dev/null
+++ b/standin/proof/departures_test.go
@@ -0,0 +1,153 @@
+package proof
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/standin/backend"
+	"eelgrasspoint/standin/platform"
+	"eelgrasspoint/standin/simulator"
+)
+
+// lateFor is how long a late registration is repeated after the deregistration.
+const lateFor = 8 * time.Second
+
+// sendLate sends late registrations of the backend server beside a node for lateFor, and bookings to that node, which
+// prefers the server beside it. It returns the number of bookings that ran there.
+func sendLate(p *pair, leaving *simulator.Node) int {
+	ran := 0
+	for i := range int(lateFor / (100 * time.Millisecond)) {
+		leaving.Register()
+		id := "late" + strconv.Itoa(i)
+		p.send(leaving, http.MethodPost, "/bookings", id, nil)
+		ran += leaving.Backend.Runs()[id]
+		time.Sleep(100 * time.Millisecond)
+	}
+	return ran
+}
+
+// TestDepartedServerStaysOutAfterRestart guards against a server that is in use again after it has left, since the
+// process that acknowledged its departure has ended and a late registration reaches the next one.
+func TestDepartedServerStaysOutAfterRestart(t *testing.T) {
+	kill := func(nodes ...*simulator.Node) {
+		for _, n := range nodes {
+			n.KillNode()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range nodes {
+			n.StartNode()
+		}
+	}
+	down := platform.Faults{Down: true}
+	cases := []struct {
+		name string
+		// before is the state of the store at the deregistration.
+		before platform.Faults
+		end    func(s *simulator.Simulator, leaving *simulator.Node)
+	}{
+		{"killed", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) { kill(n) }},
+		{"killed twice", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
+			kill(n)
+			kill(n)
+		}},
+		{"killed with all other nodes", platform.Faults{}, func(s *simulator.Simulator, _ *simulator.Node) { kill(s.Nodes...) }},
+		{"killed while the store is down", platform.Faults{}, func(s *simulator.Simulator, n *simulator.Node) {
+			s.Platform.SetFaults(down)
+			kill(n)
+		}},
+		{"deregistered and killed while the store is down", down, func(_ *simulator.Simulator, n *simulator.Node) { kill(n) }},
+		{"deregistered while the store is down, killed with all other nodes once it is back", down, func(s *simulator.Simulator, _ *simulator.Node) {
+			s.Platform.SetFaults(platform.Faults{})
+			time.Sleep(time.Second)
+			kill(s.Nodes...)
+		}},
+		{"the answer of the store is lost", platform.Faults{LoseAnswers: 1}, func(s *simulator.Simulator, _ *simulator.Node) { kill(s.Nodes...) }},
+		{"stopped", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
+			n.StopNode()
+			n.StartNode()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withBench(t, 6, func(t *testing.T, p *pair) {
+				entry, leaving := p.Nodes[0], p.Nodes[1]
+				p.Platform.SetFaults(c.before)
+				assert.Assert(t, leaving.Deregister(), "the departure was not acknowledged")
+				c.end(p.Simulator, leaving)
+				assert.Equal(t, sendLate(p, leaving), 0)
+
+				p.Platform.SetFaults(platform.Faults{})
+				leaving.KillBackend()
+				leaving.StartBackend()
+				took := waitUntil(5*time.Second, func() bool { return isUsed(entry, leaving) })
+				assert.Assert(t, took < 2*time.Second, "the next lifetime is in use after %v", took)
+			})
+		})
+	}
+}
+
+// TestServerWaitsForDeparturesAfterRestart guards against a server that is used before the node knows whether it left,
+// and against one that stays unused once the node knows that it did not.
+func TestServerWaitsForDeparturesAfterRestart(t *testing.T) {
+	withBench(t, 2, func(t *testing.T, p *pair) {
+		p.Platform.SetFaults(platform.Faults{Down: true})
+		for _, n := range p.Nodes {
+			n.KillNode()
+			n.StartNode()
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range p.Nodes {
+			assert.Assert(t, n.Runner.View().Self.BackendServer == nil, "%s uses its backend server", n.Name)
+		}
+		p.Platform.SetFaults(platform.Faults{})
+		took := waitUntil(5*time.Second, func() bool { return isUsed(p.Nodes[0], p.Nodes[1]) })
+		assert.Assert(t, took < 2*time.Second, "in use after %v", took)
+	})
+}
+
+// TestDepartureIsAcknowledgedOnceItIsKept guards against an acknowledgement that only the process that gave it knows.
+func TestDepartureIsAcknowledgedOnceItIsKept(t *testing.T) {
+	withBench(t, 1, func(t *testing.T, p *pair) {
+		n := p.Nodes[0]
+		p.Platform.SetFaults(platform.Faults{Down: true})
+		assert.Assert(t, !n.Deregister())
+		assert.Assert(t, n.Runner.View().Self.BackendServer == nil, "the departure is not in force")
+		p.Platform.SetFaults(platform.Faults{})
+		assert.Assert(t, n.Deregister())
+	})
+}
+
+// withBench runs a check over nodes with servers of the service bench that have the configuration
+// simulator.ExampleDocument.
+func withBench(t *testing.T, count int, check func(t *testing.T, p *pair)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := simulator.New(simulator.Options{Shape: unlimitedNetwork, StoreRegion: "almaty"})
+		defer s.Close()
+		for i := range count {
+			zone := []string{"almaty-a", "almaty-b", "astana-a", "astana-b"}[i%4]
+			s.AddNode(zone[:6], zone, "bench", 4, backend.Behavior{})
+		}
+		time.Sleep(6 * time.Second)
+		s.ApplyDocument(t.Context(), s.Nodes[0], simulator.ExampleDocument())
+		time.Sleep(time.Second)
+		p := &pair{Simulator: s, client: s.HTTPClient()}
+		defer p.client.CloseIdleConnections()
+		check(t, p)
+	})
+}
+
+// isUsed reports whether the current incarnation of the backend server beside a node can be chosen at another node.
+func isUsed(at, beside *simulator.Node) bool {
+	return slices.ContainsFunc(at.Runner.View().Members, func(m eelgrasspoint.Member) bool {
+		b := m.BackendServer
+		return m.Name == beside.Name && m.Alive() && b != nil && !b.Draining && b.Incarnation == beside.Incarnation
+	})
+}
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -55,8 +55,10 @@
 	Host     netip.Addr
 	Settings *loader.Settings
 	Backend  *backend.Backend
-	Log      *logrus.Logger
-	Runner   *runner.Runner
+	// Incarnation is that of the backend server.
+	Incarnation uint64
+	Log         *logrus.Logger
+	Runner      *runner.Runner
 
 	simulator      *Simulator
 	slots          int
@@ -248,10 +250,25 @@
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancelAnnounce = cancel
-	go backend.Announce(ctx, n.announceClient(), n.address(controlPort), backend.Announcement{
-		Service: n.Service, Address: n.address(backendPort), Incarnation: uint64(time.Now().UnixNano()),
-		Slots: n.slots, Connections: 260,
-	})
+	n.Incarnation = uint64(time.Now().UnixNano())
+	go backend.Announce(ctx, n.announceClient(), n.address(controlPort), n.announcement())
+}
+
+func (n *Node) announcement() backend.Announcement {
+	return backend.Announcement{
+		Service: n.Service, Address: n.address(backendPort), Incarnation: n.Incarnation, Slots: n.slots, Connections: 260,
+	}
+}
+
+// Register sends one registration of the backend server's current incarnation, as if it were late.
+func (n *Node) Register() {
+	backend.Register(context.Background(), n.announceClient(), n.address(controlPort), n.announcement())
+}
+
+// Deregister deregisters the backend server, which goes on serving, and reports whether the node acknowledged it.
+func (n *Node) Deregister() bool {
+	n.cancelAnnounce()
+	return backend.Deregister(n.announceClient(), n.address(controlPort))
 }
 
 // StopBackend deregisters the backend server and shuts it down. It waits for the requests in flight for at
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -136,7 +136,7 @@
 		eelgrasspoint.EventChangeUnknown, eelgrasspoint.EventRequestQuarantined, eelgrasspoint.EventIsolationSuspected,
 		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent,
 		eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked, eelgrasspoint.EventServerError,
-		eelgrasspoint.EventDefinitionUnread, eelgrasspoint.EventBackendHangs:
+		eelgrasspoint.EventDefinitionUnread, eelgrasspoint.EventBackendHangs, eelgrasspoint.EventDepartureNotReplicated:
 		return logrus.WarnLevel
 	default:
 		return logrus.InfoLevel
