--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -61,6 +61,7 @@
 var rareActions = []action{
 	{name: limitName, planned: true, run: limitBackend},
 	{name: hangName, run: hangBackend},
+	{name: departureName, run: killAfterDeparture},
 }
 
 // Rate and duration of the events of a schedule.
@@ -95,6 +96,7 @@
 		if at >= duration {
 			events = append(events, drawLimits(seed, duration, nodes)...)
 			events = append(events, drawHangs(seed, duration, nodes)...)
+			events = append(events, drawDepartures(seed, duration, nodes)...)
 			slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 			return events
 		}
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -122,15 +122,22 @@
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stopAnnouncing = cancel
-	go backend.Announce(ctx, http.DefaultClient, v.node.Control, backend.Announcement{
-		Service: v.service, Address: v.backendLink.Address(), Incarnation: incarnation, Slots: slots, Connections: connections,
-	})
 	v.mu.Lock()
 	v.handler, v.incarnation = handler, incarnation
 	v.mu.Unlock()
+	go backend.Announce(ctx, http.DefaultClient, v.node.Control, v.announcement())
 	return nil
 }
 
+// announcement returns the announcement of the current backend server.
+func (v *vm) announcement() backend.Announcement {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return backend.Announcement{
+		Service: v.service, Address: v.backendLink.Address(), Incarnation: v.incarnation, Slots: slots, Connections: connections,
+	}
+}
+
 // crashBackend stops the backend server and resets its connections.
 func (v *vm) crashBackend() {
 	v.stopAnnouncing()
@@ -140,15 +147,22 @@
 
 // leaveBackend makes the backend server leave, waits for its requests in flight and stops it.
 func (v *vm) leaveBackend() {
+	v.deregister()
+	// The backend server still serves, so that recordRun sees requests sent after the leave.
+	time.Sleep(servingAfterLeave)
+	v.shutDownBackend()
+}
+
+// deregister deregisters the backend server, which goes on serving.
+func (v *vm) deregister() {
 	v.stopAnnouncing()
-	v.mu.Lock()
-	incarnation := v.incarnation
-	v.mu.Unlock()
 	if backend.Deregister(http.DefaultClient, v.node.Control) {
-		v.soak.checker.recordLeave(incarnation)
+		v.soak.checker.recordLeave(v.announcement().Incarnation)
 	}
-	// The backend server still serves, so that recordRun sees requests sent after the leave.
-	time.Sleep(servingAfterLeave)
+}
+
+// shutDownBackend waits for the requests in flight of the backend server and stops it.
+func (v *vm) shutDownBackend() {
 	ctx, cancel := context.WithTimeout(context.Background(), servingAfterLeave)
 	defer cancel()
 	_ = v.server.Shutdown(ctx)
