Tests of event and reason names cover all of them

Cause: both tests ended at a name that was once the last. TestParseNames left out the three reasons that came after it (RouteUnreadable, HangingServer, Withdrawn), and TestEventCatalogue had to be moved on with each new event.

Change: they end at the last name by themselves. Nothing was found: all reasons are parsed, all events are listed.

--- a/event_test.go
+++ b/event_test.go
@@ -24,13 +24,15 @@
 		assert.Equal(t, strings.Count(line, "|"), 7, line)
 		number++
 	}
-	assert.Equal(t, number, eelgrasspoint.EventAnnouncementHeld+1, "docs/EVENTS.md has no line for event %d in order", number)
+	// Numbers that are not events have no name.
+	assert.Equal(t, number.String(), fmt.Sprintf("EventNumber(%d)", number), "docs/EVENTS.md has no line for event %d in order", number)
 }
 
 // TestParseNames checks that ParseReason and ParseOutcome recognize the names that nodes send to each
 // other.
 func TestParseNames(t *testing.T) {
-	for r := eelgrasspoint.NoReason; r <= eelgrasspoint.RateLimited; r++ {
+	// The name after the last reason is that of their number.
+	for r := eelgrasspoint.NoReason; r.String() != "reasonCount"; r++ {
 		assert.Equal(t, eelgrasspoint.ParseReason(r.String()), r)
 	}
 	for o := eelgrasspoint.Answered; o <= eelgrasspoint.MayHaveRun; o++ {
