The committed protobuf code is compared with the schema on every machine

The vet and lint targets include it.

A field number that was changed in the schema alone fails the check.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BIN := $(CURDIR)/bin
 TOOLS := github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go \
-	mvdan.cc/gofumpt github.com/mgechev/revive golang.org/x/tools/cmd/stringer golang.org/x/perf/cmd/benchstat
-PACKAGES := ./... ./standin/...
+	mvdan.cc/gofumpt github.com/mgechev/revive golang.org/x/tools/cmd/stringer golang.org/x/perf/cmd/benchstat ./generator
+PACKAGES := ./... ./standin/... ./tools/generator
 
 # Targets for daily work; README lists them by task.
 .PHONY: soak schedules race build tools gopls test lint format generate check-generated demo demo-shell measure fuzz clean
@@ -34,17 +34,17 @@
 format: tools
 	$(BIN)/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$\|_string\.go$$')
 
+# Compiles the schema; the arguments are the options of generator.
+generate_schema = $(BIN)/generator $(1) -module eelgrasspoint protocol/schema/eelgrass.proto $(BIN)/protoc-gen-go $(BIN)/protoc-gen-twirp
+
 generate: tools
-	PATH=$(BIN):$$PATH protoc -I . --go_out=. --go_opt=module=eelgrasspoint --twirp_out=. --twirp_opt=module=eelgrasspoint protocol/schema/eelgrass.proto
+	$(call generate_schema,-out .)
 	PATH=$(BIN):$$PATH go generate ./...
 
-# Compares the committed stringer code, and the protobuf code if protoc is installed, with newly
-# generated code.
+# Compares the committed generated code with newly generated code.
 check-generated: tools
-	@if ! command -v protoc > /dev/null; then echo "protoc not found: the protobuf code was not compared"; else \
-	mkdir -p _out/generated && PATH=$(BIN):$$PATH protoc -I . --go_out=_out/generated --go_opt=module=eelgrasspoint --twirp_out=_out/generated --twirp_opt=module=eelgrasspoint protocol/schema/eelgrass.proto && \
-	for f in eelgrass.pb.go eelgrass.twirp.go; do \
-	grep -v '^// 	protoc' _out/generated/protocol/schema/$$f > _out/a; grep -v '^// 	protoc' protocol/schema/$$f > _out/b; cmp _out/a _out/b || exit 1; done; fi
+	@$(call generate_schema,-out _out/generated)
+	@for f in eelgrass.pb.go eelgrass.twirp.go; do cmp _out/generated/protocol/schema/$$f protocol/schema/$$f || exit 1; done
 	@PATH=$(BIN):$$PATH go generate . && git diff --exit-code -- '*_string.go'
 
 # Starts a cluster of real processes and checks it.
