--- a/runner/membership.go
+++ b/runner/membership.go
@@ -32,6 +32,7 @@
 		scanned := written && r.scanMembers(ctx)
 		r.syncWithMembers(ctx)
 		if scanned {
+			r.settled.Store(true)
 			break
 		}
 		r.sleepJittered(ctx, joinRetryInterval)
@@ -60,15 +61,15 @@
 const membersToSync = 2
 
 // syncWithMembers syncs with a few members of the region: the rows may be stale, and updates that were
-// gossiped before this node joined are not sent again.
-func (r *Runner) syncWithMembers(ctx context.Context) {
+// gossiped before this node joined are not sent again. It returns the number of members that answered.
+func (r *Runner) syncWithMembers(ctx context.Context) int {
 	r.controller.WaitApplied()
 	view := r.controller.View()
 	synced := 0
 	for _, i := range rand.Perm(len(view.Members)) {
 		m := view.Members[i]
 		if synced == membersToSync || ctx.Err() != nil {
-			return
+			break
 		}
 		if m.Name == r.settings.Name || !m.Alive() || m.Region != view.Self.Region {
 			continue
@@ -79,6 +80,7 @@
 		}
 		cancel()
 	}
+	return synced
 }
 
 // scanMembers reads the member rows in the table service, merges them into this node's view of the
@@ -131,7 +133,7 @@
 func (r *Runner) memberRowKey() string { return memberRowPrefix + r.settings.Name }
 
 // maintainMemberRows rewrites this node's row about every MemberRowInterval, so that the rows of dead
-// members can be recognized by their age. It also deletes the rows of dead members.
+// members can be recognized by their age. It also deletes the rows of dead members and of old departures.
 func (r *Runner) maintainMemberRows(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.sleepJittered(ctx, eelgrasspoint.MemberRowInterval)
@@ -140,7 +142,7 @@
 	}
 }
 
-// deleteDeadMemberRows deletes the rows of dead members, which left or failed. Normally only the first
+// deleteDeadMemberRows deletes the rows of dead members, which left or failed, and those of old departures. Normally only the first
 // member alive, in the order of names, does so. It does no harm if several nodes do so at once, since a
 // row that was rewritten after it was read is kept.
 func (r *Runner) deleteDeadMemberRows(ctx context.Context) {
@@ -156,6 +158,9 @@
 	if firstAlive != r.settings.Name {
 		return
 	}
+	if err := r.replicator.DeleteExpiredRows(ctx); err != nil {
+		r.recordStoreDown(ctx, err)
+	}
 	rows, err := r.table.Scan(ctx, memberRowPrefix)
 	if err != nil {
 		r.recordStoreDown(ctx, err)
@@ -165,11 +170,7 @@
 		if !dead[strings.TrimPrefix(row.Key, memberRowPrefix)] {
 			continue
 		}
-		err := r.table.Commit(ctx, eelgrasspoint.Transaction{
-			Conditions: []eelgrasspoint.Condition{{Key: row.Key, Version: row.Version}},
-			Writes:     []eelgrasspoint.Write{{Key: row.Key, Delete: true}},
-		})
-		if err != nil {
+		if err := r.table.Commit(ctx, eelgrasspoint.DeletionOf(row)); err != nil {
 			r.record(eelgrasspoint.EventRowKept, "deletion of row "+row.Key+" of a dead member failed: "+err.Error())
 		}
 	}
