A deregistration names its incarnation, so that a node that has just started knows which server left

Cause: in the project's own form, DELETE named nothing. A node that has just started knows no backend server, so that it recorded no departure, and acknowledged what bound neither itself nor its next process. A late registration, also in the same process, made the server ready.

Change: the body of DELETE may name the incarnation ({"Incarnation": N}); the stand-ins do. Without it, DELETE applies to the server that the node knows, as before. The registrar passes announcements, as the handler of the platform's form does; there the identifier is part of the path, so that this fault could not happen.

--- a/protocol/registrar/registrar.go
+++ b/protocol/registrar/registrar.go
@@ -17,7 +17,7 @@
 // Registrar is an http.Handler: PUT registers the backend server or renews its registration, DELETE removes
 // it.
 type Registrar struct {
-	onChange func(context.Context, *eelgrasspoint.BackendServer) error
+	announce func(context.Context, eelgrasspoint.Announcement) error
 	recorder eelgrasspoint.Recorder
 }
 
@@ -31,7 +31,11 @@
 	Draining    bool
 }
 
-// maxBodyBytes bounds the body of a PUT.
+// deregistration is the optional JSON body of a DELETE. Without an incarnation it removes the backend server that the
+// node knows.
+type deregistration struct{ Incarnation uint64 }
+
+// maxBodyBytes bounds a body.
 const maxBodyBytes = 4096
 
 // Bounds of the fields of a registration.
@@ -40,49 +44,60 @@
 	maxConnections = 100000
 )
 
-// New returns a registrar that calls onChange with each valid registration, and with nil when the backend
-// server is removed. After an error of onChange it answers 503, which acknowledges nothing. Invalid registrations are
-// recorded as events.
-func New(onChange func(context.Context, *eelgrasspoint.BackendServer) error, recorder eelgrasspoint.Recorder) *Registrar {
-	return &Registrar{onChange: onChange, recorder: recorder}
+// New returns a registrar that calls announce with each valid registration or removal. After an error of announce it
+// answers 503, which acknowledges nothing. Invalid bodies are recorded as events.
+func New(announce func(context.Context, eelgrasspoint.Announcement) error, recorder eelgrasspoint.Recorder) *Registrar {
+	return &Registrar{announce: announce, recorder: recorder}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Registrar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parse := parseRegistration
 	switch r.Method {
 	case http.MethodPut:
-		s.put(w, r)
 	case http.MethodDelete:
-		s.change(w, r, nil)
+		parse = parseDeregistration
 	default:
 		w.Header().Set("Allow", "PUT, DELETE")
 		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
 	}
-}
-
-func (s *Registrar) put(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		s.writeMistakes(w, eelgrasspoint.Mistakes(err))
 		return
 	}
-	backend, mistakes := Parse(body)
+	announcement, mistakes := parse(body)
 	if len(mistakes) > 0 {
 		s.writeMistakes(w, mistakes)
 		return
 	}
-	s.change(w, r, backend)
-}
-
-// change acknowledges a registration or a removal once onChange has returned without an error.
-func (s *Registrar) change(w http.ResponseWriter, r *http.Request, backend *eelgrasspoint.BackendServer) {
-	if err := s.onChange(r.Context(), backend); err != nil {
+	if err := s.announce(r.Context(), announcement); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func parseRegistration(body []byte) (eelgrasspoint.Announcement, []eelgrasspoint.Mistake) {
+	backend, mistakes := Parse(body)
+	if len(mistakes) > 0 {
+		return eelgrasspoint.Announcement{}, mistakes
+	}
+	return eelgrasspoint.Announcement{Incarnation: backend.Incarnation, Backend: backend}, nil
+}
+
+func parseDeregistration(body []byte) (eelgrasspoint.Announcement, []eelgrasspoint.Mistake) {
+	if len(body) == 0 {
+		return eelgrasspoint.Announcement{}, nil
+	}
+	var d deregistration
+	if err := decoder.Decode(body, &d); err != nil {
+		return eelgrasspoint.Announcement{}, eelgrasspoint.Mistakes(err)
+	}
+	return eelgrasspoint.Announcement{Incarnation: d.Incarnation}, nil
+}
+
 func (s *Registrar) writeMistakes(w http.ResponseWriter, mistakes []eelgrasspoint.Mistake) {
 	s.recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventBadInput, Detail: (&eelgrasspoint.InvalidError{Mistakes: mistakes}).Error(),
--- a/protocol/registrar/registrar_test.go
+++ b/protocol/registrar/registrar_test.go
@@ -1,11 +1,15 @@
 package registrar_test
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint"
 	"eelgrasspoint/protocol/registrar"
 )
 
@@ -39,3 +43,37 @@
 		}
 	})
 }
+
+// TestDeregistration guards against a deregistration of another incarnation than the one that leaves.
+func TestDeregistration(t *testing.T) {
+	cases := []struct {
+		name, body  string
+		status      int
+		incarnation uint64
+	}{
+		{"without a body", "", http.StatusNoContent, 0},
+		{"with an incarnation", `{"Incarnation": 7}`, http.StatusNoContent, 7},
+		{"with an unknown field", `{"Incarnation": 7, "Id": "a"}`, http.StatusBadRequest, 0},
+		{"truncated", `{"Incarnation"`, http.StatusBadRequest, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var announced []eelgrasspoint.Announcement
+			handler := registrar.New(func(_ context.Context, a eelgrasspoint.Announcement) error {
+				announced = append(announced, a)
+				return nil
+			}, discardRecorder{})
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "/backend-server", strings.NewReader(c.body)))
+			assert.Equal(t, w.Code, c.status)
+			assert.Equal(t, len(announced) == 1, c.status == http.StatusNoContent)
+			if len(announced) == 1 {
+				assert.DeepEqual(t, announced[0], eelgrasspoint.Announcement{Incarnation: c.incarnation})
+			}
+		})
+	}
+}
+
+type discardRecorder struct{}
+
+func (discardRecorder) Record(eelgrasspoint.Event) {}
--- a/runner/announce.go
+++ b/runner/announce.go
@@ -22,15 +22,6 @@
 	}, r.recorder)
 }
 
-// register applies a registration in the project's own form; nil means that the backend server left.
-func (r *Runner) register(ctx context.Context, backend *eelgrasspoint.BackendServer) error {
-	a := eelgrasspoint.Announcement{Backend: backend}
-	if backend != nil {
-		a.Incarnation = backend.Incarnation
-	}
-	return r.announce(ctx, a)
-}
-
 // announce applies an announcement and returns nil once it may be acknowledged: it is in force, and a departure is
 // replicated. Otherwise it returns a *eelgrasspoint.NotReplicatedError; the departure is in force all the same.
 func (r *Runner) announce(ctx context.Context, a eelgrasspoint.Announcement) error {
--- a/runner/build.go
+++ b/runner/build.go
@@ -113,7 +113,7 @@
 			Client: r.controlClient, Load: r.load, Events: r.timelineEvents, Clock: r.options.Clock,
 			Published: r.options.Source != nil,
 		})),
-		registration:  registrar.New(r.register, r.recorder),
+		registration:  registrar.New(r.announce, r.recorder),
 		readiness:     r.readinessHandler(),
 		announcements: r.announcementHandler(),
 		metrics:       promhttp.HandlerFor(r.meter.Registry(), promhttp.HandlerOpts{}),
--- a/standin/backend/announce.go
+++ b/standin/backend/announce.go
@@ -42,10 +42,11 @@
 	callNode(ctx, client, http.MethodPut, control, body)
 }
 
-// Deregister deregisters the backend server at the node, so that it gets no more requests. It reports
-// whether the node accepted the deregistration.
-func Deregister(client *http.Client, control netip.AddrPort) bool {
-	return callNode(context.Background(), client, http.MethodDelete, control, nil)
+// Deregister deregisters an incarnation of the backend server at the node, so that it gets no more requests. It reports
+// whether the node acknowledged the deregistration.
+func Deregister(client *http.Client, control netip.AddrPort, incarnation uint64) bool {
+	body, _ := json.Marshal(struct{ Incarnation uint64 }{incarnation})
+	return callNode(context.Background(), client, http.MethodDelete, control, body)
 }
 
 // callNode sends a request to the node's control address with a timeout of 1 s, and reports whether
--- a/standin/cmd/backend/main.go
+++ b/standin/cmd/backend/main.go
@@ -43,11 +43,12 @@
 	go serveControl(control, b)
 	server := &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(listener) }()
+	incarnation := uint64(time.Now().UnixNano())
 	backend.Announce(ctx, http.DefaultClient, netip.MustParseAddrPort(node), backend.Announcement{
 		Service: service, Address: netip.MustParseAddrPort(listener.Addr().String()),
-		Incarnation: uint64(time.Now().UnixNano()), Slots: slots, Connections: connections,
+		Incarnation: incarnation, Slots: slots, Connections: connections,
 	})
-	backend.Deregister(http.DefaultClient, netip.MustParseAddrPort(node))
+	backend.Deregister(http.DefaultClient, netip.MustParseAddrPort(node), incarnation)
 	shutdown, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	_ = server.Shutdown(shutdown)
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// TestDepartureFromNodeThatHasJustStarted guards against a deregistration that is acknowledged and binds nobody, since
+// the node did not know yet which backend server is beside it.
+func TestDepartureFromNodeThatHasJustStarted(t *testing.T) {
+	withBench(t, 6, func(t *testing.T, p *pair) {
+		leaving := p.Nodes[1]
+		restart := func() {
+			leaving.KillNode()
+			leaving.StartNode()
+			time.Sleep(10 * time.Millisecond)
+		}
+		restart()
+		assert.Assert(t, leaving.Deregister())
+		assert.Equal(t, sendLate(p, leaving), 0)
+		restart()
+		assert.Equal(t, sendLate(p, leaving), 0)
+	})
+}
+
 // TestServerWaitsForDeparturesAfterRestart guards against a server that is used before the node knows whether it left,
 // and against one that stays unused once the node knows that it did not.
 func TestServerWaitsForDeparturesAfterRestart(t *testing.T) {
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -268,14 +268,14 @@
 // Deregister deregisters the backend server, which goes on serving, and reports whether the node acknowledged it.
 func (n *Node) Deregister() bool {
 	n.cancelAnnounce()
-	return backend.Deregister(n.announceClient(), n.address(controlPort))
+	return backend.Deregister(n.announceClient(), n.address(controlPort), n.Incarnation)
 }
 
 // StopBackend deregisters the backend server and shuts it down. It waits for the requests in flight for at
 // most backendShutdownTimeout.
 func (n *Node) StopBackend() {
 	n.cancelAnnounce()
-	backend.Deregister(n.announceClient(), n.address(controlPort))
+	backend.Deregister(n.announceClient(), n.address(controlPort), n.Incarnation)
 	ctx, cancel := context.WithTimeout(context.Background(), backendShutdownTimeout)
 	defer cancel()
 	_ = n.httpServer.Shutdown(ctx)
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -156,8 +156,9 @@
 // deregister deregisters the backend server, which goes on serving.
 func (v *vm) deregister() {
 	v.stopAnnouncing()
-	if backend.Deregister(http.DefaultClient, v.node.Control) {
-		v.soak.checker.recordLeave(v.announcement().Incarnation)
+	incarnation := v.announcement().Incarnation
+	if backend.Deregister(http.DefaultClient, v.node.Control, incarnation) {
+		v.soak.checker.recordLeave(incarnation)
 	}
 }
 
