A restarted node asks for its departures at both places that may have them

Cause: a departure that was acknowledged while the store was down is at other nodes only. The node was killed; when it started, the store was back, the path from other nodes to it was cut, and it took the rows that it read, none, for all that is known. It had asked no other node yet, since `join` still paused after its first failure.

`join` goes on as soon as the store answers instead of after its pause.

Why it works: a node that the store answers has the members' addresses some milliseconds later, and the other nodes have the departure.

--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -50,9 +50,8 @@
 	Clock eelgrasspoint.Clock
 	// Tracker remembers which updates other nodes have.
 	Tracker *tracker.Tracker
-	// Settled is called with the name of the source once this node knows the members as well as a node that has
-	// joined.
-	Settled func(source string)
+	// Settled is called when the members were synchronized with a node that has joined.
+	Settled func()
 	// Refreshed is called with the local time after each round of heartbeats if the control state is
 	// fresh.
 	Refreshed func(time.Time)
--- a/coordination/observer/synchronization.go
+++ b/coordination/observer/synchronization.go
@@ -51,8 +51,7 @@
 }
 
 // SyncMembers reconciles this node's members with those of another node by bucket digests. It
-// reports whether the other node answered. If that node has joined, the departures that it sent of this node are all
-// that are known, and the restore ends.
+// reports whether the other node answered.
 func (o *Observer) SyncMembers(ctx context.Context, m eelgrasspoint.Member) bool {
 	o.options.Meter.CountExchange("Members")
 	own := o.options.Controller.View().Members
@@ -67,7 +66,7 @@
 	members, _ := translator.Members(response.GetMembers())
 	o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	if response.GetSettled() {
-		o.options.Settled("node " + m.PeerAddress.String())
+		o.options.Settled()
 	}
 	o.options.Controller.Submit(controller.Rebroadcast{Names: newerThan(assigner.MembersInBuckets(own, response.GetBuckets()), members)})
 	return true
--- a/coordination/replicator/replicator.go
+++ b/coordination/replicator/replicator.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,13 @@
 	// them.
 	replicated []eelgrasspoint.Departure
 	// rewrite receives a value if the rows could not be written.
-	rewrite  chan struct{}
-	restored atomic.Bool
+	rewrite chan struct{}
+	// rowsRead is closed once the departures in the rows are learned.
+	rowsRead chan struct{}
+	// synced is closed once the node has the departures that a node which has joined knows.
+	synced     chan struct{}
+	syncedOnce sync.Once
+	restored   atomic.Bool
 }
 
 // Options are the settings and dependencies of a replicator.
@@ -51,10 +57,13 @@
 
 // New returns a replicator.
 func New(options Options) *Replicator {
-	return &Replicator{options: options, busy: make(chan struct{}, 1), rewrite: make(chan struct{}, 1)}
+	return &Replicator{
+		options: options, busy: make(chan struct{}, 1), rewrite: make(chan struct{}, 1),
+		rowsRead: make(chan struct{}), synced: make(chan struct{}),
+	}
 }
 
-// Run restores the departures, then writes the rows again after failures, until ctx ends.
+// Run restores the departures, and writes the rows again after failures, until ctx ends.
 func (r *Replicator) Run(ctx context.Context) {
 	r.restore(ctx)
 	for {
@@ -166,31 +175,6 @@
 	}
 }
 
-// restore reads the rows until that succeeds or ctx ends. The announcements that wait for the departures wait for
-// DepartureTTL at most: all departures that an earlier process acknowledged are older then.
-func (r *Replicator) restore(ctx context.Context) {
-	expired := time.AfterFunc(eelgrasspoint.DepartureTTL, func() { r.EndRestore("no source") })
-	defer expired.Stop()
-	for ctx.Err() == nil {
-		departures, err := r.readRows(ctx)
-		if err == nil {
-			r.options.Controller.Submit(controller.LearnDepartures{Departures: departures})
-			r.EndRestore("table service")
-			return
-		}
-		pause(ctx)
-	}
-}
-
-// EndRestore says that the source knew the departures, as far as any are in force, and that they were learned.
-func (r *Replicator) EndRestore(source string) {
-	r.options.Controller.Submit(controller.EndRestore{Source: source})
-	r.restored.Store(true)
-}
-
-// Restored reports whether EndRestore was called.
-func (r *Replicator) Restored() bool { return r.restored.Load() }
-
 func (r *Replicator) record(number eelgrasspoint.EventNumber, detail string) {
 	self := r.options.Controller.View().Self
 	r.options.Recorder.Record(eelgrasspoint.Event{Number: number, AvailabilityZone: self.AvailabilityZone, Detail: detail})
--- a/runner/announce.go
+++ b/runner/announce.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// settle ends the restore of the departures, and this node can end that of others.
-func (r *Runner) settle(source string) {
-	r.replicator.EndRestore(source)
+// settle says that this node has the members that other nodes know: it has joined, or has synchronized with a node that
+// has.
+func (r *Runner) settle() {
+	r.replicator.Synced()
 	r.settled.Store(true)
 }
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -22,20 +22,26 @@
 
 // join finds other nodes at the addresses in the settings and by the rows in the table service. Some of
 // the nodes or the table service may be unreachable; join uses those that answer. It retries until this
-// node's row is written and all rows are read. The row is written first: of two nodes that start
+// node's row is written and all rows are read, and soon once the table service answers. The row is written first: of two nodes that start
 // together, the one that writes last reads both rows. After MemberScanDelay join reads the rows once
 // more, then it maintains them until ctx ends.
 func (r *Runner) join(ctx context.Context) {
+	storeAnswers := r.replicator.RowsRead()
 	for ctx.Err() == nil {
 		r.syncWithConfiguredPeers(ctx)
 		written := r.writeMemberRow(ctx) == nil
 		scanned := written && r.scanMembers(ctx)
 		r.syncWithMembers(ctx)
 		if scanned {
-			r.settled.Store(true)
+			r.settle()
 			break
 		}
-		r.sleepJittered(ctx, joinRetryInterval)
+		select {
+		case <-ctx.Done():
+		case <-storeAnswers:
+			storeAnswers = nil
+		case <-time.After(jittered(joinRetryInterval)):
+		}
 	}
 	r.sleepJittered(ctx, eelgrasspoint.MemberScanDelay)
 	r.scanMembers(ctx)
@@ -191,12 +197,16 @@
 	}
 }
 
-// sleepJittered waits for 0.5 to 1.5 times the interval or until ctx ends. The jitter keeps nodes that
-// started together from making their calls at the same time.
+// sleepJittered waits for the jittered interval or until ctx ends.
 func (r *Runner) sleepJittered(ctx context.Context, interval time.Duration) {
-	jittered := interval/2 + time.Duration(rand.Int64N(int64(interval)))
 	select {
 	case <-ctx.Done():
-	case <-time.After(jittered):
+	case <-time.After(jittered(interval)):
 	}
 }
+
+// jittered returns 0.5 to 1.5 times the interval. The jitter keeps nodes that started together from making their calls at
+// the same time.
+func jittered(interval time.Duration) time.Duration {
+	return interval/2 + time.Duration(rand.Int64N(int64(interval)))
+}
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -16,19 +16,22 @@
 	"eelgrasspoint/standin/simulator"
 )
 
-// lateFor is how long a late registration is repeated after the deregistration.
-const lateFor = 8 * time.Second
+// A late registration is repeated every lateInterval for lateFor.
+const (
+	lateFor      = 8 * time.Second
+	lateInterval = 20 * time.Millisecond
+)
 
 // sendLate sends late registrations of the backend server beside a node for lateFor, and bookings to that node, which
 // prefers the server beside it. It returns the number of bookings that ran there.
 func sendLate(p *pair, leaving *simulator.Node) int {
 	ran := 0
-	for i := range int(lateFor / (100 * time.Millisecond)) {
+	for i := range int(lateFor / lateInterval) {
 		leaving.Register()
 		id := "late" + strconv.Itoa(i)
 		p.send(leaving, http.MethodPost, "/bookings", id, nil)
 		ran += leaving.Backend.Runs()[id]
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(lateInterval)
 	}
 	return ran
 }
@@ -68,6 +71,21 @@
 			time.Sleep(time.Second)
 			kill(s.Nodes...)
 		}},
+		{"deregistered and killed while the store is down, cut off until the store is back", down, func(s *simulator.Simulator, n *simulator.Node) {
+			for _, other := range s.Nodes {
+				if other != n {
+					s.Network.Blackhole(other.Host)
+				}
+			}
+			kill(n)
+			go func() {
+				time.Sleep(time.Second)
+				for _, other := range s.Nodes {
+					s.Network.Restore(other.Host)
+				}
+				s.Platform.SetFaults(platform.Faults{})
+			}()
+		}},
 		{"the answer of the store is lost", platform.Faults{LoseAnswers: 1}, func(s *simulator.Simulator, _ *simulator.Node) { kill(s.Nodes...) }},
 		{"stopped", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
 			n.StopNode()
