--- a/runner/announce.go
+++ b/runner/announce.go
@@ -22,15 +22,6 @@
 	}, r.recorder)
 }
 
-// register applies a registration in the project's own form; nil means that the backend server left.
-func (r *Runner) register(ctx context.Context, backend *eelgrasspoint.BackendServer) error {
-	a := eelgrasspoint.Announcement{Backend: backend}
-	if backend != nil {
-		a.Incarnation = backend.Incarnation
-	}
-	return r.announce(ctx, a)
-}
-
 // announce applies an announcement and returns nil once it may be acknowledged: it is in force, and a departure is
 // replicated. Otherwise it returns a *eelgrasspoint.NotReplicatedError; the departure is in force all the same.
 func (r *Runner) announce(ctx context.Context, a eelgrasspoint.Announcement) error {
@@ -57,8 +48,9 @@
 	}
 }
 
-// settle ends the restore of the departures, and this node can end that of others.
-func (r *Runner) settle(source string) {
-	r.replicator.EndRestore(source)
+// settle says that this node has the members that other nodes know: it has joined, or has synchronized with a node that
+// has.
+func (r *Runner) settle() {
+	r.replicator.Synced()
 	r.settled.Store(true)
 }
