--- a/runner/membership.go
+++ b/runner/membership.go
@@ -22,9 +22,9 @@
 
 // join finds other nodes at the addresses in the settings and by the rows in the table service. Some of
 // the nodes or the table service may be unreachable; join uses those that answer. It retries until this
-// node's row is written and all rows are read, and soon once the table service answers. The row is written first: of two nodes that start
-// together, the one that writes last reads both rows. After MemberScanDelay join reads the rows once
-// more, then it maintains them until ctx ends.
+// node's row is written and all rows are read, after a pause or as soon as the table service answers.
+// The row is written first: of two nodes that start together, the one that writes last reads both rows.
+// After MemberScanDelay join reads the rows once more, then it maintains them until ctx ends.
 func (r *Runner) join(ctx context.Context) {
 	storeAnswers := r.replicator.RowsRead()
 	for ctx.Err() == nil {
@@ -148,9 +148,9 @@
 	}
 }
 
-// deleteDeadMemberRows deletes the rows of dead members, which left or failed, and those of old departures. Normally only the first
-// member alive, in the order of names, does so. It does no harm if several nodes do so at once, since a
-// row that was rewritten after it was read is kept.
+// deleteDeadMemberRows deletes the rows of dead members, which left or failed, and those of old
+// departures. Normally only the first member alive, in the order of names, does so. It does no harm if
+// several nodes do so at once, since a row that was rewritten after it was read is kept.
 func (r *Runner) deleteDeadMemberRows(ctx context.Context) {
 	members := r.controller.View().Members
 	dead := make(map[string]bool, len(members))
