--- a/coordination/controller/departures_test.go
+++ b/coordination/controller/departures_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
@@ -104,3 +105,40 @@
 	n.announce(registration("a", 5, 3, true))
 	assert.Assert(t, n.backend != nil && n.backend.Draining)
 }
+
+// TestDepartedLifetimeIsNeverReadyAgain guards against any order of announcements, kills and late announcements in which
+// a lifetime that left gets new requests, and against one in which the next lifetime gets none.
+func TestDepartedLifetimeIsNeverReadyAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNode()
+		go n.Run(t.Context())
+		left := make(map[uint64]bool)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			incarnation := rapid.Uint64Range(1, 4).Draw(t, "incarnation")
+			switch rapid.SampledFrom([]string{"ready", "ready", "draining", "deregistration", "kill"}).Draw(t, "step") {
+			case "ready":
+				n.announce(registration("a", incarnation, rapid.Uint64Range(1, 5).Draw(t, "sequence"), false))
+			case "draining":
+				n.announce(registration("a", incarnation, rapid.Uint64Range(1, 5).Draw(t, "sequence"), true))
+				left[incarnation] = left[incarnation] || n.backend != nil && n.backend.Incarnation == incarnation && n.backend.Draining
+			case "deregistration":
+				n.announce(deregistration("a", incarnation))
+				left[incarnation] = true
+			case "kill":
+				departures := n.View().Self.Departures
+				n = newRestoringNode()
+				go n.Run(t.Context())
+				n.announce(registration("a", incarnation, 1, false))
+				n.submit(controller.LearnDepartures{Departures: departures})
+				n.submit(controller.EndRestore{Source: "test"})
+			}
+			if n.ready() && left[n.backend.Incarnation] {
+				t.Fatalf("lifetime %d is ready again after it left", n.backend.Incarnation)
+			}
+		}
+		n.announce(registration("a", 5, 1, false))
+		if !n.ready() {
+			t.Fatal("the next lifetime is not in use")
+		}
+	})
+}
