A restarted node finds other nodes though the store takes no writes

Cause: the departure was acknowledged while the store was down, so that only other nodes had it. After the restart the store answered reads but lost writes. `join` reads the members' rows only after it has written the node's own, so that the node knew nobody to ask, and took the rows of departures, none, for all that is known.

Change: until the departures are restored, the node reads the members' rows itself once the table service answers reads and it knows nobody. In a usual start `join` has done so before.

--- a/runner/announce.go
+++ b/runner/announce.go
@@ -34,20 +34,33 @@
 }
 
 // restorePollInterval is the pause before restoreFromMembers looks again for members.
-const restorePollInterval = 100 * time.Millisecond
+const restorePollInterval = 50 * time.Millisecond
 
-// restoreFromMembers syncs with members until the departures are restored, since the calls of the table service
-// in join may take long while it is down.
+// restoreFromMembers syncs with members until the departures are restored, since join goes on only once the table
+// service takes writes.
 func (r *Runner) restoreFromMembers(ctx context.Context) {
 	for ctx.Err() == nil && !r.replicator.Restored() {
 		pause := restorePollInterval
-		if r.syncWithMembers(ctx) > 0 {
+		if r.findMembers(ctx) && r.syncWithMembers(ctx) > 0 {
 			pause = joinRetryInterval
 		}
 		r.sleepJittered(ctx, pause)
 	}
 }
 
+// findMembers reports whether this node knows other members, after it has read their rows if the table service answers.
+func (r *Runner) findMembers(ctx context.Context) bool {
+	if len(r.controller.View().Members) > 1 {
+		return true
+	}
+	select {
+	case <-r.replicator.RowsRead():
+		return r.scanMembers(ctx)
+	default:
+		return false
+	}
+}
+
 // settle says that this node has the members that other nodes know: it has joined, or has synchronized with a node that
 // has.
 func (r *Runner) settle() {
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -86,6 +86,10 @@
 				s.Platform.SetFaults(platform.Faults{})
 			}()
 		}},
+		{"deregistered while the store is down, killed while it answers reads only", down, func(s *simulator.Simulator, n *simulator.Node) {
+			s.Platform.SetFaults(platform.Faults{DropWrites: 1000})
+			kill(n)
+		}},
 		{"the answer of the store is lost", platform.Faults{LoseAnswers: 1}, func(s *simulator.Simulator, _ *simulator.Node) { kill(s.Nodes...) }},
 		{"stopped", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
 			n.StopNode()
