--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -11,7 +11,7 @@
 )
 
 // seeds are the seeds that TestSeeds runs: one with planned operations only, one with all faults, and one for every
-// cause of a failure that a seed has found.
+// cause that a seed fails for again; TestDepartedServerStaysOutAfterRestart plays those that need a finer timing.
 var seeds = []struct {
 	seed     uint64
 	nodes    int
