--- a/review/6/_scripts/client.go
+++ b/review/6/_scripts/client.go
@@ -89,3 +89,12 @@
 	defer c.mu.Unlock()
 	return c.results
 }
+
+// countStatuses counts the results by status.
+func countStatuses(results []result) map[int]int {
+	counts := make(map[int]int)
+	for _, r := range results {
+		counts[r.status]++
+	}
+	return counts
+}
--- a/review/6/_scripts/instance.go
+++ b/review/6/_scripts/instance.go
@@ -64,7 +64,7 @@
 			go i.serve(&answering{Conn: conn})
 		}
 	}()
-	i.begin()
+	i.begin(time.Now())
 	r.note("instance %s of service %s started at %s", i.id, n.service, n.instance)
 	return i, nil
 }
--- a/review/6/_scripts/main.go
+++ b/review/6/_scripts/main.go
@@ -33,6 +33,7 @@
 	"refused": playRefused,
 	"lost":    playLost,
 	"mixed":   playMixed,
+	"drain":   playDrain,
 }
 
 // The nodes end with the thread that started them, which is that of main.
--- a/review/6/_scripts/mixed.go
+++ b/review/6/_scripts/mixed.go
@@ -52,7 +52,7 @@
 	defer e.mu.Unlock()
 	e.listener, e.conns = listener, make(map[net.Conn]bool)
 	go e.accept(listener)
-	e.begin()
+	e.begin(time.Now())
 	return nil
 }
 
@@ -218,16 +218,14 @@
 // only.
 func (p *play) checkMixed(results []result, ledgers []*earlyInstance) bool {
 	mixed := 0
-	counts := make(map[int]int)
 	for _, r := range results {
-		counts[r.status]++
 		written := slices.ContainsFunc(ledgers, func(e *earlyInstance) bool { return e.wrote(r.id) })
 		if r.err == nil && r.status == http.StatusOK && !r.bodyComplete && !written {
 			mixed++
 			p.note("MIXED: %s, sent at %.4f s, got a success with %d of %d bytes", r.id, r.sent.Seconds(), r.bytes, len(wholeAnswer(r.id)))
 		}
 	}
-	p.note("client attempts %d, by status %v; MIXED %d", len(results), counts, mixed)
+	p.note("client attempts %d, by status %v; MIXED %d", len(results), countStatuses(results), mixed)
 	return mixed > 0
 }
 
--- a/review/6/_scripts/refused.go
+++ b/review/6/_scripts/refused.go
@@ -99,9 +99,7 @@
 // than once.
 func (p *play) checkRefused(results []result, instances []*instance) bool {
 	twice, refused := 0, 0
-	counts := make(map[int]int)
 	for _, r := range results {
-		counts[r.status]++
 		runs := findRuns(r.id, instances)
 		if len(runs) > 1 {
 			twice++
@@ -112,7 +110,7 @@
 			p.note("REFUSED: %s, sent at %.4f s, was answered %d and ran %v", r.id, r.sent.Seconds(), r.status, runs)
 		}
 	}
-	p.note("client attempts %d, by status %v; TWICE %d, REFUSED %d", len(results), counts, twice, refused)
+	p.note("client attempts %d, by status %v; TWICE %d, REFUSED %d", len(results), countStatuses(results), twice, refused)
 	for _, i := range instances {
 		i.mu.Lock()
 		p.note("instance %s: answers %d, rejected health probes %d, late copies %d", i.id, i.answered, i.rejected, i.copied)
--- a/review/6/_scripts/reporter.go
+++ b/review/6/_scripts/reporter.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,8 +17,12 @@
 	node *node
 	// slots is the number of slots that the reports name.
 	slots int
-	// lifetime is that of the instance now; zero while it is down.
-	lifetime atomic.Int64
+
+	mu sync.Mutex
+	// born is the start of the lifetime in Unix milliseconds; zero while the instance is down.
+	born     int64
+	sequence int
+	state    string
 }
 
 const reportInterval = 1500 * time.Millisecond
@@ -27,30 +32,77 @@
 	return &reporter{id: fmt.Sprintf("i-%08x", rand.Uint32()), node: n, slots: slots}
 }
 
-// begin begins a lifetime.
-func (r *reporter) begin() {
-	born := time.Now().UnixMilli()
-	r.lifetime.Store(born)
+// begin begins a lifetime at the time of the instance's clock.
+func (r *reporter) begin(now time.Time) {
+	born := now.UnixMilli()
+	r.mu.Lock()
+	r.born, r.sequence, r.state = born, 0, "ready"
+	r.mu.Unlock()
 	go func() {
-		for sequence := 1; r.lifetime.Load() == born; sequence++ {
-			r.send(born, sequence)
+		for r.lives(born) {
+			r.report()
 			time.Sleep(reportInterval)
 		}
 	}()
 }
 
+// lives reports whether the lifetime has not ended.
+func (r *reporter) lives(born int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.born == born
+}
+
 // stop ends the lifetime.
-func (r *reporter) stop() { r.lifetime.Store(0) }
+func (r *reporter) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born = 0
+}
+
+// drain reports that the instance is draining, and whether that was acknowledged.
+func (r *reporter) drain() bool {
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	return r.report()
+}
 
-func (r *reporter) send(born int64, sequence int) {
+// report sends a report and returns whether it was acknowledged.
+func (r *reporter) report() bool {
+	r.mu.Lock()
+	r.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"Address": r.node.instance, "born": born,
+		"Address": r.node.instance, "born": r.born,
 		"Information": map[string]any{"Service": r.node.service, "Version": "v1", "Zone": r.node.zone, "Slots": r.slots},
-		"Status":      map[string]any{"State": "ready", "Sequence": sequence, "ColdRemainingS": 0},
+		"Status":      map[string]any{"State": r.state, "Sequence": r.sequence, "ColdRemainingS": 0},
 	})
+	r.mu.Unlock()
 	request, _ := http.NewRequest(http.MethodPut, "http://"+r.node.control+"/api/instances/"+r.id, bytes.NewReader(body))
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Timeout: time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// leaves reports whether the instance is draining.
+func (r *reporter) leaves() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state == "draining"
+}
+
+// remove says that the instance is gone.
+func (r *reporter) remove() {
+	r.mu.Lock()
+	body := fmt.Sprintf(`{"born":%d}`, r.born)
+	r.mu.Unlock()
+	request, _ := http.NewRequest(http.MethodDelete, "http://"+r.node.control+"/api/instances/"+r.id, strings.NewReader(body))
+	client := &http.Client{Timeout: time.Second}
 	if response, err := client.Do(request); err == nil {
 		response.Body.Close()
 	}
