--- a/review/6/_scripts/main.go
+++ b/review/6/_scripts/main.go
@@ -30,10 +30,9 @@
 
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
 var cases = map[string]func(p *play) (broken bool, err error){
-	"refused": playRefused,
-	"lost":    playLost,
-	"mixed":   playMixed,
-	"drain":   playDrain,
+	"mixed": playMixed,
+	"drain": playDrain,
+	"slow":  playSlow,
 }
 
 // The nodes end with the thread that started them, which is that of main.
--- a/review/6/_scripts/mixed.go
+++ b/review/6/_scripts/mixed.go
@@ -38,6 +38,8 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// slowness is how long work takes, as a multiple of the usual time.
+	slowness time.Duration
 	// whole are the requests whose answers were written to their end.
 	whole map[string]bool
 }
@@ -120,8 +122,11 @@
 	if _, err := conn.Write([]byte(head)); err != nil {
 		return false
 	}
+	e.mu.Lock()
+	pause := pieceTime * e.slowness
+	e.mu.Unlock()
 	for k := range answerPieces {
-		time.Sleep(pieceTime)
+		time.Sleep(pause)
 		if _, err := conn.Write([]byte(piece(id, k))); err != nil {
 			e.note("instance %s: the answer to %s breaks off at piece %d", e.id, id, k)
 			return false
@@ -148,48 +153,62 @@
 
 // playMixed lets uploads go to instances that crash one after the other while they answer.
 func playMixed(p *play) (bool, error) {
-	const host, prefix = "photos.example", "/breakage/"
+	callers, ledgers, err := p.startUploads(ledgerCount)
+	if err != nil {
+		return false, err
+	}
+	for k := range crashes {
+		callers.upload(crashInterval)
+		if !p.trouble {
+			continue
+		}
+		crashed := ledgers[k%len(ledgers)]
+		crashed.crash()
+		callers.upload(downTime)
+		if err := crashed.start(); err != nil {
+			return false, err
+		}
+	}
+	return p.checkMixed(callers.wait(), ledgers), nil
+}
+
+// uploadHost and uploadPrefix are those of the route of the uploads.
+const (
+	uploadHost   = "photos.example"
+	uploadPrefix = "/breakage/"
+)
+
+// startUploads starts the store, the ledgers, and the node of the clients.
+func (p *play) startUploads(ledgers int) (*clients, []*earlyInstance, error) {
 	var err error
 	if p.store, err = startStore(); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	p.configure("00000007",
-		rule{name: "r-photos", host: host, prefix: prefix, kind: "upload", service: "ledger", target: 0.4, timeout: 2.5},
+		rule{name: "r-photos", host: uploadHost, prefix: uploadPrefix, kind: "upload", service: "ledger", target: 0.4, timeout: 2.5},
 		rule{name: "r-view", host: "view.example", prefix: "/view/", kind: "safe", service: "vitrine", target: 0.3, timeout: 2},
 	)
 	entry, err := p.startNode("vitrine", "almaty-a")
 	if err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	if err := entry.awaitReady(); err != nil {
-		return false, err
+		return nil, nil, err
 	}
-	ledgers, err := p.startEarly()
+	started, err := p.startEarly(ledgers)
 	if err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	time.Sleep(4 * time.Second)
 	callers := newClients(p.record, entry)
 	callers.expected = wholeAnswer
-	for k := range crashes {
-		callers.upload(crashInterval, host, prefix)
-		if !p.trouble {
-			continue
-		}
-		crashed := ledgers[k%len(ledgers)]
-		crashed.crash()
-		callers.upload(downTime, host, prefix)
-		if err := crashed.start(); err != nil {
-			return false, err
-		}
-	}
-	return p.checkMixed(callers.wait(), ledgers), nil
+	return callers, started, nil
 }
 
-// startEarly starts the ledgers and their nodes.
-func (p *play) startEarly() ([]*earlyInstance, error) {
+// startEarly starts ledgers and their nodes.
+func (p *play) startEarly(count int) ([]*earlyInstance, error) {
 	var ledgers []*earlyInstance
-	for k := range ledgerCount {
+	for k := range count {
 		n, err := p.startNode("ledger", []string{"almaty-a", "almaty-b"}[k%2])
 		if err != nil {
 			return nil, err
@@ -197,7 +216,7 @@
 		if err := n.awaitReady(); err != nil {
 			return nil, err
 		}
-		e := &earlyInstance{record: p.record, reporter: newReporter(n, 13), whole: make(map[string]bool)}
+		e := &earlyInstance{record: p.record, reporter: newReporter(n, 13), whole: make(map[string]bool), slowness: 1}
 		if err := e.start(); err != nil {
 			return nil, err
 		}
@@ -207,15 +226,14 @@
 }
 
 // upload sends uploads for a time.
-func (c *clients) upload(length time.Duration, host, prefix string) {
+func (c *clients) upload(length time.Duration) {
 	body := bytes.Repeat([]byte("0123456789"), longUpload/10)
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(uploadPause) {
-		c.send(http.MethodPost, host, prefix+"2f", body, 2500*time.Millisecond)
+		c.send(http.MethodPost, uploadHost, uploadPrefix+"2f", body, 2500*time.Millisecond)
 	}
 }
 
-// checkMixed reports whether a client got a success without the whole answer, of which the instance had written a part
-// only.
+// checkMixed reports whether a client got a success without the whole answer, of which the instance could write a part only.
 func (p *play) checkMixed(results []result, ledgers []*earlyInstance) bool {
 	mixed := 0
 	for _, r := range results {
