--- a/review/6/_scripts/drain.go
+++ b/review/6/_scripts/drain.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
@@ -95,13 +94,41 @@
 // playDrain lets instances start, crash, start again with the same identifier and leave. Where the clock of the machine was
 // ahead at the first start, the second one seems to have begun before it.
 func playDrain(p *play) (bool, error) {
-	const host, prefix = "pay.example", "/deposit/"
+	callers, err := p.startLedgers()
+	if err != nil {
+		return false, err
+	}
+	ended := make(chan struct{})
+	callers.group.Go(func() { callers.sendUntil(ended, depositHost, depositPrefix) })
+	late := 0
+	for range drainRounds {
+		n, err := p.playLeaving(p.nodes[2])
+		if err != nil {
+			return false, err
+		}
+		late += n
+	}
+	close(ended)
+	results := callers.wait()
+	p.note("client attempts %d, by status %v; DRAIN %d", len(results), countStatuses(results), late)
+	return late > 0, nil
+}
+
+// depositHost and depositPrefix are those of the route of the deposits.
+const (
+	depositHost   = "pay.example"
+	depositPrefix = "/deposit/"
+)
+
+// startLedgers starts the store, four nodes, and an instance that stays beside the second. An instance may be started beside the
+// third, in the zone of the clients, who are at the first.
+func (p *play) startLedgers() (*clients, error) {
 	var err error
 	if p.store, err = startStore(); err != nil {
-		return false, err
+		return nil, err
 	}
 	p.configure("00000007",
-		rule{name: "r-deposit", host: host, prefix: prefix, kind: "unsafe", service: "ledger", target: 0.4, timeout: 2.5},
+		rule{name: "r-deposit", host: depositHost, prefix: depositPrefix, kind: "unsafe", service: "ledger", target: 0.4, timeout: 2.5},
 		rule{name: "r-view", host: "view.example", prefix: "/view/", kind: "safe", service: "vitrine", target: 0.3, timeout: 2},
 	)
 	for _, at := range []struct{ service, zone string }{
@@ -112,32 +139,18 @@
 	} {
 		n, err := p.startNode(at.service, at.zone)
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		if err := n.awaitReady(); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	stays := &plainInstance{record: p.record, reporter: newReporter(p.nodes[1], 13)}
 	if err := stays.up(0); err != nil {
-		return false, err
+		return nil, err
 	}
 	time.Sleep(4 * time.Second)
-	callers := newClients(p.record, p.nodes[0])
-	ended := make(chan struct{})
-	callers.group.Go(func() { callers.sendUntil(ended, host, prefix) })
-	late := 0
-	for range drainRounds {
-		n, err := p.playLeaving(p.nodes[2])
-		if err != nil {
-			return false, err
-		}
-		late += n
-	}
-	close(ended)
-	results := callers.wait()
-	p.note("client attempts %d, by status %v; DRAIN %d", len(results), countStatuses(results), late)
-	return late > 0, nil
+	return newClients(p.record, p.nodes[0]), nil
 }
 
 // sendUntil sends unsafe requests until the channel is closed.
@@ -180,15 +193,19 @@
 	time.Sleep(servesAfter)
 	i.remove()
 	i.down()
+	return i.countLate(acknowledged + drainTimeout), nil
+}
+
+// countLate returns the number of requests that reached the instance later than a time since the start.
+func (i *plainInstance) countLate(bound time.Duration) (late int) {
 	i.mu.Lock()
-	runs := slices.Clone(i.runs)
-	i.mu.Unlock()
-	for _, r := range runs {
-		if after := r.at - acknowledged; after > drainTimeout {
+	defer i.mu.Unlock()
+	for _, r := range i.runs {
+		if r.at > bound {
 			late++
-			p.note("DRAIN: %s reached %s %v after the acknowledgement", r.id, i.id, after.Round(time.Millisecond))
+			i.note("DRAIN: %s reached %s at %.4f s, later than %.4f s", r.id, i.id, r.at.Seconds(), bound.Seconds())
 		}
 	}
-	p.note("instance %s ran %d requests, %d of them late", i.id, len(runs), late)
-	return late, nil
+	i.note("instance %s ran %d requests, %d of them late", i.id, len(i.runs), late)
+	return late
 }
--- a/review/6/_scripts/main.go
+++ b/review/6/_scripts/main.go
@@ -30,9 +30,10 @@
 
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
 var cases = map[string]func(p *play) (broken bool, err error){
-	"mixed": playMixed,
-	"drain": playDrain,
-	"slow":  playSlow,
+	"mixed":     playMixed,
+	"drain":     playDrain,
+	"slow":      playSlow,
+	"forgotten": playForgotten,
 }
 
 // The nodes end with the thread that started them, which is that of main.
--- a/review/6/_scripts/node.go
+++ b/review/6/_scripts/node.go
@@ -18,13 +18,15 @@
 	// outbound, inbound, ready, control and metrics are its addresses, instance that of the instance beside it.
 	outbound, inbound, ready, control, metrics, instance string
 
-	command *exec.Cmd
-	ended   chan struct{}
+	// settings is the path of its settings file.
+	settings string
+	command  *exec.Cmd
+	ended    chan struct{}
 }
 
 // startNode starts a node of the service with the settings that the deploy file makes of a small deployment.
 func (p *play) startNode(service, zone string) (*node, error) {
-	n := &node{name: fmt.Sprintf("sidecar-%s-%d", zone, len(p.nodes)+1), service: service, zone: zone, ended: make(chan struct{})}
+	n := &node{name: fmt.Sprintf("sidecar-%s-%d", zone, len(p.nodes)+1), service: service, zone: zone}
 	for _, address := range []*string{&n.outbound, &n.inbound, &n.ready, &n.control, &n.metrics, &n.instance} {
 		var err error
 		if *address, err = freeAddress(); err != nil {
@@ -43,25 +45,35 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(p.dir, n.name+".log"))
-	if err != nil {
+	n.settings = path
+	if err := p.launch(n); err != nil {
 		return nil, err
 	}
+	p.nodes = append(p.nodes, n)
+	p.note("node %s of service %s started: clients %s, instance %s", n.name, service, n.outbound, n.instance)
+	return n, nil
+}
+
+// launch starts the process of a node, which has none or whose last one has ended.
+func (p *play) launch(n *node) error {
+	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
 	defer log.Close()
-	n.command = exec.Command("target/eelgrassd", "--settings", path)
-	n.command.Stdout, n.command.Stderr = log, log
-	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.command.Start(); err != nil {
-		return nil, err
+	command, ended := exec.Command("target/eelgrassd", "--settings", n.settings), make(chan struct{})
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
 	}
-	p.nodes = append(p.nodes, n)
+	n.command, n.ended = command, ended
 	go func() {
-		err := n.command.Wait()
+		err := command.Wait()
 		p.note("node %s ended: %v", n.name, err)
-		close(n.ended)
+		close(ended)
 	}()
-	p.note("node %s of service %s started: clients %s, instance %s", n.name, service, n.outbound, n.instance)
-	return n, nil
+	return nil
 }
 
 // freeAddress returns a loopback address with a free port.
--- a/review/6/_scripts/reporter.go
+++ b/review/6/_scripts/reporter.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -69,16 +68,24 @@
 }
 
 // report sends a report and returns whether it was acknowledged.
-func (r *reporter) report() bool {
+func (r *reporter) report() bool { return r.prepare()() }
+
+// prepare returns a function that sends a report of now, and reports whether it was acknowledged.
+func (r *reporter) prepare() (send func() bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"Address": r.node.instance, "born": r.born,
 		"Information": map[string]any{"Service": r.node.service, "Version": "v1", "Zone": r.node.zone, "Slots": r.slots},
 		"Status":      map[string]any{"State": r.state, "Sequence": r.sequence, "ColdRemainingS": 0},
 	})
-	r.mu.Unlock()
-	request, _ := http.NewRequest(http.MethodPut, "http://"+r.node.control+"/api/instances/"+r.id, bytes.NewReader(body))
+	return func() bool { return r.call(http.MethodPut, body) }
+}
+
+// call sends a call about the instance and returns whether it was acknowledged.
+func (r *reporter) call(method string, body []byte) bool {
+	request, _ := http.NewRequest(method, "http://"+r.node.control+"/api/instances/"+r.id, bytes.NewReader(body))
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Timeout: time.Second}
 	response, err := client.Do(request)
@@ -89,21 +96,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// leaves reports whether the instance is draining.
-func (r *reporter) leaves() bool {
+// remove says that the instance leaves, and returns whether that was acknowledged. No further reports follow.
+func (r *reporter) remove() bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state == "draining"
+	body := fmt.Appendf(nil, `{"born":%d}`, r.born)
+	r.born, r.state = 0, "leaving"
+	r.mu.Unlock()
+	return r.call(http.MethodDelete, body)
 }
 
-// remove says that the instance is gone.
-func (r *reporter) remove() {
+// leaves reports whether the instance is leaving.
+func (r *reporter) leaves() bool {
 	r.mu.Lock()
-	body := fmt.Sprintf(`{"born":%d}`, r.born)
-	r.mu.Unlock()
-	request, _ := http.NewRequest(http.MethodDelete, "http://"+r.node.control+"/api/instances/"+r.id, strings.NewReader(body))
-	client := &http.Client{Timeout: time.Second}
-	if response, err := client.Do(request); err == nil {
-		response.Body.Close()
-	}
+	defer r.mu.Unlock()
+	return r.state != "ready"
 }
--- a/review/6/_scripts/store.go
+++ b/review/6/_scripts/store.go
@@ -27,6 +27,7 @@
 	start   time.Time
 
 	mu      sync.Mutex
+	isDown  bool
 	version uint64
 	rows    map[string]storedRow
 	changed chan struct{}
@@ -42,10 +43,36 @@
 	mux.HandleFunc("POST /api/rows-tx", s.transact)
 	mux.HandleFunc("GET /api/rows-get", s.get)
 	mux.HandleFunc("GET /api/rows-feed", s.feed)
-	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
+	go func() {
+		_ = (&http.Server{Handler: s.refusingWhileDown(mux), ReadHeaderTimeout: time.Minute}).Serve(listener)
+	}()
 	return s, nil
 }
 
+// setDown makes the store answer 503 to each call of the nodes, or ends that.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = down
+	s.wake()
+}
+
+func (s *store) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown
+}
+
+func (s *store) refusingWhileDown(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.down() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // put writes a row as the operator does.
 func (s *store) put(table, key, value string) {
 	s.mu.Lock()
@@ -115,6 +142,10 @@
 	wait, _ := strconv.Atoi(query.Get("WaitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for waiting := true; ; {
+		if s.down() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		s.mu.Lock()
 		rows := s.find(func(row storedRow) bool { return row.Table == query.Get("Table") && row.VersionNumber > after })
 		if len(rows) > 0 || !waiting {
