--- a/review/6/_scripts/mixed.go
+++ b/review/6/_scripts/mixed.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,23 +12,27 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 const (
-	// longUpload is the length of an upload: more than the operating system keeps for an instance that doesn't read, and
-	// a tenth of what the desired state allows.
-	longUpload = 6_000_000
+	// longUpload is the length of an upload, the longest of the site file.
+	longUpload = 360_000
+	// The connections to an instance have small windows and the segments of an Ethernet link, as between machines. The
+	// operating system then keeps 232 KB for an instance that doesn't read.
+	segmentBytes = 1460
+	windowBytes  = 16 << 10
 	// The answer to an upload comes in pieces of pieceBytes and more.
 	answerPieces = 8
 	pieceBytes   = 250
 	pieceTime    = 20 * time.Millisecond
 	// One of the ledgers at a time crashes, and is back after downTime.
 	ledgerCount   = 7
-	crashes       = 30
+	crashes       = 20
 	crashInterval = 2 * time.Second
 	downTime      = time.Second
-	uploadPause   = 30 * time.Millisecond
+	uploadPause   = 20 * time.Millisecond
 )
 
 // earlyInstance is a stand-in for an instance that answers uploads before it has read them, without a length: the end of the
@@ -46,7 +52,12 @@
 
 // start begins to listen and to report.
 func (e *earlyInstance) start() error {
-	listener, err := net.Listen("tcp", e.node.instance)
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var err error
+		controlErr := conn.Control(func(fd uintptr) { err = setSmallWindow(int(fd)) })
+		return errors.Join(controlErr, err)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", e.node.instance)
 	if err != nil {
 		return err
 	}
@@ -58,6 +69,14 @@
 	return nil
 }
 
+// setSmallWindow bounds the segments and the window of the connections that a listening socket accepts.
+func setSmallWindow(socket int) error {
+	return errors.Join(
+		syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes),
+		syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes),
+	)
+}
+
 func (e *earlyInstance) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
