--- a/review/6/_scripts/forgotten.go
+++ b/review/6/_scripts/forgotten.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -10,18 +12,19 @@
 	// The times of a round, since the store went down.
 	reportAt    = 400 * time.Millisecond
 	leaveAt     = 500 * time.Millisecond
-	killAt      = 1200 * time.Millisecond
-	restartAt   = 1900 * time.Millisecond
-	lateAt      = 2500 * time.Millisecond
-	storeBackAt = 4 * time.Second
-	exitAt      = 14 * time.Second
+	rollAt      = 800 * time.Millisecond
+	lateAt      = 4500 * time.Millisecond
+	storeBackAt = 8 * time.Second
+	exitAt      = 15 * time.Second
+	// rollGap is the pause between the stops of two nodes.
+	rollGap = time.Second
 
 	contactTimeout  = 3 * time.Second
 	forgottenRounds = 3
 )
 
-// playForgotten lets an instance leave while the store is down. All nodes are killed before the store is back. A report that the
-// instance sent before it left arrives late.
+// playForgotten lets an instance leave while the store is down, and the nodes be stopped and started again in turn. A report
+// that the instance sent before it left arrives late.
 func playForgotten(p *play) (bool, error) {
 	callers, err := p.startLedgers()
 	if err != nil {
@@ -63,41 +66,45 @@
 	}
 	acknowledged := time.Since(p.start)
 	p.note("instance %s: its leaving is acknowledged", i.id)
-	if p.trouble {
-		until(killAt)
-		p.killAll()
-		until(restartAt)
-		if err := p.launchAll(); err != nil {
-			return 0, err
-		}
-	}
+	until(rollAt)
+	rolled := p.roll(n)
 	until(lateAt)
-	p.note("instance %s: the report of %v before its leaving arrives, acknowledged: %v", i.id, leaveAt-reportAt, delayed())
+	p.note("instance %s: a report from before its leaving arrives, acknowledged: %v", i.id, delayed())
 	until(storeBackAt)
+	if err := rolled(); err != nil {
+		return 0, err
+	}
 	p.store.setDown(false)
-	p.note("the store is back")
+	p.note("the store is up")
 	inTouch := time.Since(p.start) + contactTimeout
 	until(exitAt)
 	i.down()
 	return i.countLate(max(inTouch, acknowledged+drainTimeout)), nil
 }
 
-func (p *play) killAll() {
+// roll stops all nodes with SIGTERM, in turn, first the given one, and starts each again as soon as it has ended. The returned
+// function waits until all are started.
+func (p *play) roll(first *node) (wait func() error) {
+	order := []*node{first}
 	for _, n := range p.nodes {
-		n.signal(syscall.SIGKILL)
+		if n != first {
+			order = append(order, n)
+		}
 	}
-	for _, n := range p.nodes {
-		<-n.ended
+	var group sync.WaitGroup
+	errs := make([]error, len(order))
+	for k, n := range order {
+		group.Go(func() {
+			time.Sleep(time.Duration(k) * rollGap)
+			p.note("SIGTERM to node %s", n.name)
+			n.signal(syscall.SIGTERM)
+			<-n.ended
+			errs[k] = p.launch(n)
+			p.note("node %s is started again", n.name)
+		})
 	}
-	p.note("all nodes are killed")
-}
-
-func (p *play) launchAll() error {
-	for _, n := range p.nodes {
-		if err := p.launch(n); err != nil {
-			return err
-		}
+	return func() error {
+		group.Wait()
+		return errors.Join(errs...)
 	}
-	p.note("all nodes are started")
-	return nil
 }
--- a/review/6/_scripts/main.go
+++ b/review/6/_scripts/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"runtime"
 	"time"
 )
 
@@ -36,9 +35,6 @@
 	"forgotten": playForgotten,
 }
 
-// The nodes end with the thread that started them, which is that of main.
-func init() { runtime.LockOSThread() }
-
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: scripts CASE FOLDER")
--- a/review/6/_scripts/node.go
+++ b/review/6/_scripts/node.go
@@ -63,7 +63,7 @@
 	defer log.Close()
 	command, ended := exec.Command("target/eelgrassd", "--settings", n.settings), make(chan struct{})
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
 	if err := command.Start(); err != nil {
 		return err
 	}
