--- a/review/6/_scripts/main.go
+++ b/review/6/_scripts/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +28,10 @@
 	dir   string
 	store *store
 	nodes []*node
+
+	// launching is held while a node is started; ending is set once the nodes are ended.
+	launching sync.Mutex
+	ending    bool
 }
 
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
@@ -58,13 +65,11 @@
 	defer rec.close()
 	p := &play{record: rec, trouble: os.Getenv("TROUBLE") != "0", dir: dir}
 	defer p.endNodes()
-	watchdog := time.AfterFunc(110*time.Second, func() {
-		p.note("the case took too long")
-		p.endNodes()
-		rec.close()
-		os.Exit(exitFailed)
-	})
+	watchdog := time.AfterFunc(110*time.Second, func() { p.giveUp("the case took too long") })
 	defer watchdog.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { p.giveUp("ended by signal " + (<-signals).String()) }()
 	p.note("case %s, disruption: %v", name, p.trouble)
 	broken, err := cases[name](p)
 	switch {
@@ -82,3 +87,12 @@
 		return exitHeld
 	}
 }
+
+// giveUp ends all nodes and the program.
+func (p *play) giveUp(reason string) {
+	p.note("%s", reason)
+	p.endNodes()
+	_ = os.RemoveAll(p.dir)
+	p.close()
+	os.Exit(exitFailed)
+}
--- a/review/6/_scripts/node.go
+++ b/review/6/_scripts/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -56,6 +57,11 @@
 
 // launch starts the process of a node, which has none or whose last one has ended.
 func (p *play) launch(n *node) error {
+	p.launching.Lock()
+	defer p.launching.Unlock()
+	if p.ending {
+		return errors.New("the nodes are ended")
+	}
 	log, err := os.OpenFile(n.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -106,6 +112,9 @@
 
 // endNodes ends all nodes that the play started.
 func (p *play) endNodes() {
+	p.launching.Lock()
+	p.ending = true
+	p.launching.Unlock()
 	for _, n := range p.nodes {
 		n.signal(syscall.SIGKILL)
 	}
