An answer whose connection is lost while its request is written is no whole answer

Cause: the operating system reports the loss of a connection to one call only. While the request's body is being written that is often the write; the read then ends as after an orderly close, which is the end of an answer without a length.

The exit node logged nothing in this case; it now logs AttemptFailed with the cause, here `connection ended after a failed write: ... connection reset by peer`.

Change: a read of a dialer's connection returns io.EOF only if no write has failed on it, and *BrokenError otherwise. A write in progress may be the one that is told, so the read interrupts it and waits for its result.

Why it works: the error goes to the write before the read sees the end, so that it is known, or about to be returned, at that moment.

--- a/coordination/executor/answer.go
+++ b/coordination/executor/answer.go
@@ -87,14 +87,16 @@
 
 // noteFailure handles an error in reading the body.
 func (b *responseBody) noteFailure(err error) {
-	switch reason := b.run.endReason(b.ctx, err); reason {
-	case eelgrasspoint.ConnectionLost:
+	reason := b.run.endReason(b.ctx, err)
+	if reason != eelgrasspoint.ConnectionLost && reason != eelgrasspoint.MalformedAnswer {
+		return
+	}
+	if reason == eelgrasspoint.ConnectionLost {
 		b.run.executor.connectionLost(b.run)
-	case eelgrasspoint.MalformedAnswer:
-		b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
-			Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: err.Error(),
-		}, b.run)
 	}
+	b.run.executor.recordFailure(&b.run.attempt.Meta, &eelgrasspoint.OutcomeError{
+		Outcome: eelgrasspoint.MayHaveRun, Reason: reason, Detail: "the answer broke off: " + err.Error(),
+	}, b.run)
 }
 
 // Close implements io.Closer. If the body was not read to its end, net/http closes the connection, so
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -1,12 +1,16 @@
-// Package dialer opens connections and counts the bytes that are read from and written to them.
+// Package dialer opens connections that count the bytes read from and written to them, and that tell an orderly end
+// from a broken connection.
 package dialer
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Func opens a connection, like net.Dialer.DialContext.
@@ -58,6 +62,21 @@
 // ErrUnusable is the error of the first write of a request on a connection that can't answer it.
 var ErrUnusable = errors.New("the connection ended, or bytes arrived on it, before the request was written")
 
+// BrokenError is the error of a read that reaches the end of a connection on which a write has failed. The other side
+// may have sent more than was read.
+type BrokenError struct {
+	// Cause is the error of the write.
+	Cause error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return "the connection ended after a failed write: " + e.Cause.Error()
+}
+
+// Unwrap returns the error of the write.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
 // BeginRequest waits until the reader of an idle connection that a Dialer opened has consumed all bytes and
 // waits for more, or the connection has ended. If it ends or more bytes arrive before the next write, that write
 // fails with ErrUnusable: the bytes can't belong to its request. The reader must read while the connection is
@@ -85,7 +104,7 @@
 	broken atomic.Bool
 
 	mu sync.Mutex
-	// changed is signaled when reading or ended is set.
+	// changed is signaled when reading, ended or writes changes.
 	changed sync.Cond
 	// reading is set while a read is in progress.
 	reading bool
@@ -95,11 +114,19 @@
 	// requestBegun is set between BeginRequest and the next write; readBefore is bytesRead at BeginRequest.
 	requestBegun bool
 	readBefore   int64
+	// writes is the number of writes in progress.
+	writes int
+	// writeError is the error of the first write that failed while the connection was open on this side.
+	writeError error
 }
 
+// Read implements net.Conn. It returns io.EOF only at an orderly end, and a *BrokenError if a write has failed.
 func (c *countingConn) Read(p []byte) (int, error) {
 	c.setReading(0, nil, true)
 	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.checkEnd()
+	}
 	c.setReading(n, err, false)
 	c.dialer.read.Add(int64(n))
 	c.noteError(err)
@@ -116,6 +143,22 @@
 	c.changed.Broadcast()
 }
 
+// checkEnd returns the error of a read that has reached the end. The operating system reports the loss of a connection
+// to one call only: if that was a write, the read sees an orderly end. A write in progress may be the one, so it
+// is interrupted; what it has not sent is of no use any more.
+func (c *countingConn) checkEnd() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writes > 0 {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+		c.changed.Wait()
+	}
+	if c.writeError != nil {
+		return &BrokenError{Cause: c.writeError}
+	}
+	return io.EOF
+}
+
 // Write adds the whole of p to passedToWrite before it writes, because a failed write may still have sent a part
 // of p. It adds nothing if it fails with ErrUnusable.
 func (c *countingConn) Write(p []byte) (int, error) {
@@ -123,11 +166,24 @@
 		return 0, ErrUnusable
 	}
 	n, err := c.Conn.Write(p)
+	c.endWrite(err)
 	c.dialer.written.Add(int64(n))
 	c.noteError(err)
 	return n, err
 }
 
+// endWrite records the result of a write. A write that its deadline or the end of the connection on this side ended
+// says nothing of the connection.
+func (c *countingConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+	if c.writeError == nil && err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writeError = err
+	}
+	c.changed.Broadcast()
+}
+
 // beginWrite reports whether a write may begin, and counts its bytes if so.
 func (c *countingConn) beginWrite(bytes int) bool {
 	c.mu.Lock()
@@ -136,6 +192,7 @@
 		return false
 	}
 	c.requestBegun = false
+	c.writes++
 	c.passedToWrite.Add(int64(bytes))
 	return true
 }
