A server that reads late keeps its connection

Cause: TCP_USER_TIMEOUT, 0.5 s on connections to the backend server, also ends a connection whose other side answers every window probe, but keeps its window closed for that long.

Evidence: a connection that the opener opens, without HTTP, is reset within 1.5 s while its other end is open and does not read (TestConnectionOutlastsASlowReader, both cases red before). The records of the case show the resets, about a second after each answer began, far from the time limit of 2.5 s.

Why it works: a closed window and a dead connection differ in what is in flight; only the second keeps the timeout.

--- a/transport/opener/opener_test.go
+++ b/transport/opener/opener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 	conn, err := o.DialContext(t.Context(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	defer conn.Close()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	assert.NilError(t, err)
 	options := make(map[int]int)
 	assert.NilError(t, raw.Control(func(fd uintptr) {
--- /dev/null
+++ b/transport/opener/patience_test.go
@@ -0,0 +1,72 @@
+package opener_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint/transport/opener"
+)
+
+const smallReceiveBuffer = 16 << 10
+
+// openWithSmallWindow returns both ends of a connection that the opener opens. The window of the other end is small.
+func openWithSmallWindow(t *testing.T, o *opener.Opener) (near, far net.Conn) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var err error
+		controlErr := conn.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallReceiveBuffer)
+		})
+		return errors.Join(controlErr, err)
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	near, err = o.DialContext(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	far, err = listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	return near, far
+}
+
+// TestConnectionOutlastsASlowReader guards against a request that is broken off, as its server does not read the body for a
+// while: both where the body fits into the buffers of the sender and where its write waits.
+func TestConnectionOutlastsASlowReader(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for name, bytes := range map[string]int{"the body is buffered": 64 << 10, "the write waits": 16 << 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			near, far := openWithSmallWindow(t, opener.NewWithTimeout(timeout))
+			written := make(chan error, 1)
+			go func() {
+				_, err := near.Write(make([]byte, bytes))
+				written <- err
+			}()
+			for range 2 {
+				time.Sleep(5 * timeout)
+				_, err := io.CopyN(io.Discard, far, int64(bytes/2))
+				assert.NilError(t, err)
+			}
+			assert.NilError(t, <-written)
+			time.Sleep(timeout)
+			assert.Equal(t, socketOption(t, near, unix.TCP_USER_TIMEOUT), int(timeout.Milliseconds()), "the next request has no timeout")
+		})
+	}
+}
+
+func socketOption(t *testing.T, conn net.Conn, name int) int {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	var value int
+	assert.NilError(t, raw.Control(func(fd uintptr) { value, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
+	return value
+}
--- /dev/null
+++ b/transport/opener/queue_test.go
@@ -0,0 +1,25 @@
+package opener
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSilentConnectionKeepsItsTimeout guards against a dead connection that is taken for one whose other side doesn't read.
+func TestSilentConnectionKeepsItsTimeout(t *testing.T) {
+	cases := []struct {
+		name  string
+		queue sendQueue
+		waits bool
+	}{
+		{"segments in flight", sendQueue{unacknowledged: 2}, false},
+		{"segments in flight, more behind them", sendQueue{unacknowledged: 2, unsentBytes: 9000}, false},
+		{"the window is closed", sendQueue{unsentBytes: 9000}, true},
+		{"a window probe is on its way", sendQueue{unsentBytes: 9000, unansweredProbes: 1}, true},
+		{"window probes are not answered", sendQueue{unsentBytes: 9000, unansweredProbes: 2}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.queue.waitsForWindow(), c.waits) })
+	}
+}
