A process that starts without the store is found again after a planned stop

Cause: a process that starts without the store knows nobody, and the others contacted only members alive or failed. A member that left in a planned stop was never contacted, so that its next process did not get the departures that they kept.

Change: members that left are contacted as failed ones are, eight in a round by all nodes together. The heartbeat carries the sender's entry and the member's own with its departures.

Why it works: any node that lives, or is itself still stopping, reaches the new process within a round or two, before its successor has to rely on it in turn.

--- a/coordination/observer/detection.go
+++ b/coordination/observer/detection.go
@@ -12,33 +12,30 @@
 // isolated.
 const maxIsolationProbes = 2
 
-// failedRetriesPerRound is the mean number of failed members that all nodes together contact in one
+// deadContactsPerRound is the mean number of members that left or failed which all nodes together contact in one
 // round.
-const failedRetriesPerRound = 8
+const deadContactsPerRound = 8
 
-// retryFailed sends heartbeats to a few failed members, chosen at random in each round. A node that
-// restarts while the store is down has no member entries but its own, and as a failed member it is
-// no heartbeat target of other nodes, so these heartbeats let it rejoin.
-func (o *Observer) retryFailed(ctx context.Context, view *eelgrasspoint.MembershipView) {
-	var failed []eelgrasspoint.Member
-	alive := 0
+// contactDead sends heartbeats to a few members that left or failed, chosen at random in each round. A node that
+// restarts while the store is down has no member entries but its own, and it is no heartbeat target of other nodes,
+// which know it as a member that left in a planned stop, or failed. So these heartbeats let it rejoin.
+func (o *Observer) contactDead(ctx context.Context, view *eelgrasspoint.MembershipView) {
+	var dead []eelgrasspoint.Member
 	for _, m := range view.Members {
-		switch {
-		case m.Alive():
-			alive++
-		case !m.Left:
-			failed = append(failed, m)
+		if !m.Alive() && m.Name != view.Self.Name {
+			dead = append(dead, m)
 		}
 	}
-	// expected is the mean number of failed members that this node contacts: its integer part is
+	alive := len(view.Members) - len(dead)
+	// expected is the mean number of dead members that this node contacts: its integer part is
 	// certain, its fractional part is the probability of one more.
-	expected := float64(failedRetriesPerRound) / float64(max(1, alive))
-	for _, i := range rand.Perm(len(failed)) {
+	expected := float64(deadContactsPerRound) / float64(max(1, alive))
+	for _, i := range rand.Perm(len(dead)) {
 		if expected <= 0 || rand.Float64() >= expected {
 			return
 		}
 		expected--
-		go func() { _ = o.sendHeartbeat(ctx, view, failed[i]) }()
+		go func() { _ = o.sendHeartbeat(ctx, view, dead[i]) }()
 	}
 }
 
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -125,11 +125,11 @@
 	o.Flush(ctx)
 }
 
-// round sends one heartbeat to each heartbeat target and a few to failed members, marks the control
+// round sends one heartbeat to each heartbeat target and a few to dead members, marks the control
 // state as fresh, and marks targets that failed. It marks no target if the process was paused.
 func (o *Observer) round(ctx context.Context) {
 	view := o.options.Controller.View()
-	o.retryFailed(ctx, view)
+	o.contactDead(ctx, view)
 	paused := o.detectPause()
 	var group sync.WaitGroup
 	answers := make([]bool, len(view.Observed))
@@ -159,6 +159,10 @@
 	o.options.Meter.CountExchange("Converse")
 	client := o.client(m)
 	updates := o.updatesFor(view, m.Name)
+	if !m.Alive() {
+		// A new process of the member needs this node's entry to find others, and its own for the departures in it.
+		updates = append([]eelgrasspoint.Member{view.Self, m}, updates...)
+	}
 	response, err := client.Converse(ctx, o.request(view, updates))
 	if err != nil {
 		return err
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,28 @@
 	return ran
 }
 
+// startingWith returns the nodes with the given one in front.
+func startingWith(first *simulator.Node, nodes []*simulator.Node) []*simulator.Node {
+	rest := slices.DeleteFunc(slices.Clone(nodes), func(n *simulator.Node) bool { return n == first })
+	return append([]*simulator.Node{first}, rest...)
+}
+
+// roll stops all nodes in turn, first the given one, with the pause between two stops, and starts each again once it has ended.
+// Each accepts requests for drainTime after the stop has begun.
+func roll(s *simulator.Simulator, first *simulator.Node, pause time.Duration) {
+	const drainTime = 2500 * time.Millisecond
+	var restarts sync.WaitGroup
+	for _, n := range startingWith(first, s.Nodes) {
+		n.Settings.DrainTimeout = drainTime
+		restarts.Go(func() {
+			n.StopNode()
+			n.StartNode()
+		})
+		time.Sleep(pause)
+	}
+	restarts.Wait()
+}
+
 // TestDepartedServerStaysOutAfterRestart guards against a server that is in use again after it has left, since the
 // process that acknowledged its departure has ended and a late registration reaches the next one.
 func TestDepartedServerStaysOutAfterRestart(t *testing.T) {
@@ -49,6 +72,9 @@
 		}
 	}
 	down := platform.Faults{Down: true}
+	restoreLater := func(s *simulator.Simulator) {
+		time.AfterFunc(time.Second, func() { s.Platform.SetFaults(platform.Faults{}) })
+	}
 	cases := []struct {
 		name string
 		// before is the state of the store at the deregistration.
@@ -91,6 +117,27 @@
 			kill(n)
 		}},
 		{"the answer of the store is lost", platform.Faults{LoseAnswers: 1}, func(s *simulator.Simulator, _ *simulator.Node) { kill(s.Nodes...) }},
+		{"deregistered while the store is down, all nodes stopped in turn", down, func(s *simulator.Simulator, n *simulator.Node) {
+			roll(s, n, 5*time.Second)
+			restoreLater(s)
+		}},
+		{"deregistered while the store is down, all nodes stopped in turn, with overlaps", down, func(s *simulator.Simulator, n *simulator.Node) {
+			roll(s, n, time.Second)
+			restoreLater(s)
+		}},
+		{"deregistered while the store is down, all nodes stopped in turn, with overlaps, then killed", down, func(s *simulator.Simulator, n *simulator.Node) {
+			roll(s, n, 400*time.Millisecond)
+			time.Sleep(3 * time.Second)
+			kill(n)
+			restoreLater(s)
+		}},
+		{"deregistered while the store is down, all nodes killed in turn", down, func(s *simulator.Simulator, n *simulator.Node) {
+			for _, each := range startingWith(n, s.Nodes) {
+				kill(each)
+				time.Sleep(time.Second)
+			}
+			restoreLater(s)
+		}},
 		{"stopped", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
 			n.StopNode()
 			n.StartNode()
