A departure that only other nodes had gets a row once the store is back

What callers would see: requests at a server that left, after the store was down at the acknowledgement and in a planned restart, was back for a while, and then all nodes were killed.

Cause: rows were written again only by the process whose own write had failed. The next process got the departure from other nodes and kept it in memory, as they did, for as long as any of them lived.

Change: the replicator remembers which departures have a row, and writes the missing ones: at once after a failed write, and otherwise within a second. It makes no call unless one is missing; departures that are too old for a row get none.

--- a/coordination/replicator/replicator.go
+++ b/coordination/replicator/replicator.go
@@ -25,6 +25,11 @@
 	replicated []eelgrasspoint.Departure
 	// rewrite receives a value if the rows could not be written.
 	rewrite chan struct{}
+
+	// mu guards stored, the departures that are known to have a row.
+	mu     sync.Mutex
+	stored []eelgrasspoint.Departure
+
 	// rowsRead is closed once the departures in the rows are learned.
 	rowsRead chan struct{}
 	// synced is closed once the node has the departures that a node which has joined knows.
@@ -53,6 +58,10 @@
 	secondCopyDelay = 100 * time.Millisecond
 	// rowRetryInterval is the pause after a failed read or write of the rows.
 	rowRetryInterval = 500 * time.Millisecond
+	// rowCheckInterval is the pause between two looks for departures without a row.
+	rowCheckInterval = time.Second
+	// maxStored bounds the departures that are remembered as stored; a node keeps fewer.
+	maxStored = 4 * eelgrasspoint.MaxDepartures
 )
 
 // New returns a replicator.
@@ -63,16 +72,20 @@
 	}
 }
 
-// Run restores the departures, and writes the rows again after failures, until ctx ends.
+// Run restores the departures, and writes the rows that are missing, until ctx ends: those that could not be written,
+// and those of departures that only other nodes had.
 func (r *Replicator) Run(ctx context.Context) {
 	r.restore(ctx)
+	ticker := time.NewTicker(rowCheckInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.rewrite:
-			r.writeUntilDone(ctx)
+		case <-ticker.C:
 		}
+		r.writeMissingRows(ctx)
 	}
 }
 
@@ -161,13 +174,34 @@
 	}
 }
 
-// writeUntilDone writes the rows until that succeeds or ctx ends.
-func (r *Replicator) writeUntilDone(ctx context.Context) {
-	for ctx.Err() == nil && r.writeRows(ctx, r.options.Controller.View().Self.Departures) != nil {
+// writeMissingRows writes the missing rows until that succeeds or ctx ends.
+func (r *Replicator) writeMissingRows(ctx context.Context) {
+	for ctx.Err() == nil {
+		missing := r.withoutRow(r.options.Controller.View().Self.Departures)
+		if len(missing) == 0 || r.writeRows(ctx, missing) == nil {
+			return
+		}
 		pause(ctx)
 	}
 }
 
+// withoutRow returns the departures that are not known to have a row and are not too old for one.
+func (r *Replicator) withoutRow(departures []eelgrasspoint.Departure) []eelgrasspoint.Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(departures), func(d eelgrasspoint.Departure) bool {
+		return slices.ContainsFunc(r.stored, d.Equal) || r.options.Clock().Sub(d.At) >= rowTTL
+	})
+}
+
+// addStored notes departures that have a row.
+func (r *Replicator) addStored(departures []eelgrasspoint.Departure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = append(r.stored, departures...)
+	r.stored = r.stored[max(0, len(r.stored)-maxStored):]
+}
+
 func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/coordination/replicator/row.go
+++ b/coordination/replicator/row.go
@@ -43,7 +43,11 @@
 		}
 		writes = append(writes, eelgrasspoint.Write{Key: r.rowKey(d), Value: value})
 	}
-	return r.options.Table.Commit(ctx, eelgrasspoint.Transaction{Writes: writes})
+	err := r.options.Table.Commit(ctx, eelgrasspoint.Transaction{Writes: writes})
+	if err == nil {
+		r.addStored(departures)
+	}
+	return err
 }
 
 // readRows returns the departures in the rows of this node. A row that can't be read is recorded and left out.
@@ -61,6 +65,7 @@
 		}
 		departures = append(departures, d)
 	}
+	r.addStored(departures)
 	return departures, nil
 }
 
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -138,6 +138,12 @@
 			}
 			restoreLater(s)
 		}},
+		{"deregistered while the store is down, stopped and killed with all other nodes once it is back", down, func(s *simulator.Simulator, n *simulator.Node) {
+			roll(s, n, time.Second)
+			s.Platform.SetFaults(platform.Faults{})
+			time.Sleep(2 * time.Second)
+			kill(s.Nodes...)
+		}},
 		{"stopped", platform.Faults{}, func(_ *simulator.Simulator, n *simulator.Node) {
 			n.StopNode()
 			n.StartNode()
