Nodes that are all stopped within seconds find each other without the store

Cause: a process that has just started ignored the entries of members that had left, so that it could not find them again; and it took the departures only from a member alive in its own region that had joined, which nobody was who had just been started.

Evidence: TestServersAreUsedAfterARollWithoutStore, four nodes in two regions stopped a second apart: their servers were not in use at all nodes within 20 s.

Change: until its departures are restored, a process keeps entries of members that left, and so contacts them. It synchronizes with members that are still stopping if none alive answers, and with other regions while neither its region nor the store does. With the store up, the restore ends before any of this.

After: in use at all nodes within 3 s, which the test demands.

--- a/coordination/controller/members.go
+++ b/coordination/controller/members.go
@@ -3,7 +3,8 @@
 import "eelgrasspoint"
 
 // MergeMembers merges member entries received from another node or the table service. An entry that
-// does not supersede the stored one is ignored, as is one of an unknown member that left or failed.
+// does not supersede the stored one is ignored, as is one of an unknown member that left or failed. A process that has not
+// found out yet what others know keeps these, since the member may be back before it finds others.
 // A received entry of this node is refuted if it supersedes the node's own entry.
 type MergeMembers struct{ Members []eelgrasspoint.Member }
 
@@ -26,7 +27,7 @@
 		c.members[m.Name] = old
 		return
 	}
-	if !known && !m.Alive() {
+	if !known && !m.Alive() && c.restored {
 		return
 	}
 	c.members[m.Name] = m
--- a/runner/announce.go
+++ b/runner/announce.go
@@ -41,21 +41,38 @@
 func (r *Runner) restoreFromMembers(ctx context.Context) {
 	for ctx.Err() == nil && !r.replicator.Restored() {
 		pause := restorePollInterval
-		if r.findMembers(ctx) && r.syncWithMembers(ctx) > 0 {
+		if r.findMembers(ctx) && r.syncToRestore(ctx) > 0 {
 			pause = joinRetryInterval
 		}
 		r.sleepJittered(ctx, pause)
 	}
 }
 
+// syncToRestore syncs with members of the region. While neither one of them that has joined nor the table service has
+// answered, it also tries members of other regions. It returns the number of members that answered.
+func (r *Runner) syncToRestore(ctx context.Context) int {
+	synced := r.syncWithMembers(ctx)
+	if r.settled.Load() || r.rowsRead() {
+		return synced
+	}
+	return synced + r.syncWithFew(ctx, r.otherMembers(func(m eelgrasspoint.Member) bool {
+		return m.Alive() && m.Region != r.settings.Region
+	}))
+}
+
 // findMembers reports whether this node knows other members, after it has read their rows if the table service answers.
 func (r *Runner) findMembers(ctx context.Context) bool {
 	if len(r.controller.View().Members) > 1 {
 		return true
 	}
+	return r.rowsRead() && r.scanMembers(ctx)
+}
+
+// rowsRead reports whether the table service has answered the read of the departures.
+func (r *Runner) rowsRead() bool {
 	select {
 	case <-r.replicator.RowsRead():
-		return r.scanMembers(ctx)
+		return true
 	default:
 		return false
 	}
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,19 +68,34 @@
 const membersToSync = 2
 
 // syncWithMembers syncs with a few members of the region: the rows may be stale, and updates that were
-// gossiped before this node joined are not sent again. It returns the number of members that answered.
+// gossiped before this node joined are not sent again. If none alive answers, it tries a few that left: they may still
+// be stopping, and know what the others do not. It returns the number of members that answered.
 func (r *Runner) syncWithMembers(ctx context.Context) int {
+	inRegion := func(m eelgrasspoint.Member) bool { return m.Region == r.settings.Region }
+	if synced := r.syncWithFew(ctx, r.otherMembers(func(m eelgrasspoint.Member) bool { return m.Alive() && inRegion(m) })); synced > 0 {
+		return synced
+	}
+	left := r.otherMembers(func(m eelgrasspoint.Member) bool { return m.Left && inRegion(m) })
+	return r.syncWithFew(ctx, left[:min(membersToSync, len(left))])
+}
+
+// otherMembers returns the other members that match, in random order.
+func (r *Runner) otherMembers(matches func(m eelgrasspoint.Member) bool) []eelgrasspoint.Member {
 	r.controller.WaitApplied()
-	view := r.controller.View()
+	members := slices.DeleteFunc(slices.Clone(r.controller.View().Members), func(m eelgrasspoint.Member) bool {
+		return m.Name == r.settings.Name || !matches(m)
+	})
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
+// syncWithFew syncs with the members in order until membersToSync have answered, and returns the number of those.
+func (r *Runner) syncWithFew(ctx context.Context, members []eelgrasspoint.Member) int {
 	synced := 0
-	for _, i := range rand.Perm(len(view.Members)) {
-		m := view.Members[i]
+	for _, m := range members {
 		if synced == membersToSync || ctx.Err() != nil {
 			break
 		}
-		if m.Name == r.settings.Name || !m.Alive() || m.Region != view.Self.Region {
-			continue
-		}
 		ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 		if r.observer.SyncMembers(ctx, m) {
 			synced++
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -264,3 +264,24 @@
 		})
 	}
 }
+
+// TestServersAreUsedAfterARollWithoutStore guards against nodes that find each other only once the store is back, after all of
+// them were stopped and started again without it, so that no request is served.
+func TestServersAreUsedAfterARollWithoutStore(t *testing.T) {
+	withBench(t, 4, func(t *testing.T, p *pair) {
+		p.Platform.SetFaults(platform.Faults{Down: true})
+		roll(p.Simulator, p.Nodes[2], time.Second)
+		allUsed := func() bool {
+			for _, at := range p.Nodes {
+				for _, beside := range p.Nodes {
+					if at.Runner.View().Revision == 0 || !isUsed(at, beside) {
+						return false
+					}
+				}
+			}
+			return true
+		}
+		took := waitUntil(20*time.Second, allUsed)
+		assert.Assert(t, took < 3*time.Second, "all servers are in use after %v", took)
+	})
+}
