--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -146,45 +146,6 @@
 	return answer, err
 }
 
-// admit returns the run of an attempt that got a slot. An answer beside an error holds only the load hint.
-func (e *Executor) admit(ctx context.Context, attempt *eelgrasspoint.Attempt) (*run, *eelgrasspoint.Answer, error) {
-	if err := e.checkAllowed(&attempt.Meta); err != nil {
-		return nil, nil, err
-	}
-	if err := e.checkLoad(ctx, &attempt.Meta); err != nil {
-		return nil, e.loadHint(), err
-	}
-	admittedAt, err := e.options.Admitter.Admit(ctx, &attempt.Meta)
-	if err != nil {
-		return nil, e.loadHint(), err
-	}
-	r, err := e.waitAndRegister(ctx, attempt, admittedAt)
-	if err != nil {
-		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admittedAt, Ignored: true})
-		return nil, nil, err
-	}
-	return r, nil, nil
-}
-
-// checkLoad returns a refusal if the backend server takes no request for the moment, whether it has a slot or not.
-func (e *Executor) checkLoad(ctx context.Context, meta *eelgrasspoint.RequestMetadata) error {
-	if err := e.options.Admitter.CheckRate(); err != nil {
-		// A health check before each refusal would be a further load, but one now and then may show that the limit has ended.
-		e.checkHealthIfOld()
-		return err
-	}
-	if err := e.hanging(meta); err != nil {
-		return err
-	}
-	if e.tooSlow(ctx, meta.Insists) {
-		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "")
-	}
-	if e.tooLate(meta, e.lastingSlowness()) {
-		return eelgrasspoint.Refuse(eelgrasspoint.SlowServer, "the run would end after the deadline")
-	}
-	return nil
-}
-
 func (e *Executor) loadHint() *eelgrasspoint.Answer {
 	return &eelgrasspoint.Answer{Load: e.Load(), HasLoad: true}
 }
@@ -206,77 +167,6 @@
 	return &eelgrasspoint.Answer{Response: response, Load: e.Load(), HasLoad: true, ServedBy: e.options.Holder.Load().Self.Name}, nil
 }
 
-// checkAllowed returns a refusal if the request may not run on this exit node, whatever its load.
-func (e *Executor) checkAllowed(meta *eelgrasspoint.RequestMetadata) error {
-	snapshot := e.options.Holder.Load()
-	if !meta.Permits(snapshot.Self.Region) {
-		return eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
-	}
-	if e.options.Holder.Stale(e.options.Clock()) {
-		return eelgrasspoint.Refuse(eelgrasspoint.StaleNode, "")
-	}
-	if snapshot.Draining {
-		return eelgrasspoint.Refuse(eelgrasspoint.Draining, "")
-	}
-	if zoneOutOfService(snapshot) {
-		return eelgrasspoint.Refuse(eelgrasspoint.ZoneOutOfService, "")
-	}
-	e.mu.Lock()
-	backend := e.backend
-	e.mu.Unlock()
-	if backend == nil || backend.Service != meta.Service {
-		return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
-	}
-	if e.options.Quarantiner.Status(meta.Fingerprint) == quarantiner.Quarantined {
-		return eelgrasspoint.Refuse(eelgrasspoint.Quarantined, "")
-	}
-	return nil
-}
-
-// waitAndRegister registers the run. An attempt with Insists set can't or should not go to another backend
-// server, so it first waits while this one is slow.
-func (e *Executor) waitAndRegister(ctx context.Context, attempt *eelgrasspoint.Attempt, admittedAt time.Time) (*run, error) {
-	if attempt.Meta.Insists {
-		if err := e.waitWhileSlow(ctx, &attempt.Meta); err != nil {
-			return nil, err
-		}
-	}
-	return e.register(attempt, admittedAt)
-}
-
-// register adds a run to those in flight. It repeats checkAllowed, since the zone may have gone out of
-// service or the backend server may have left while the attempt waited.
-func (e *Executor) register(attempt *eelgrasspoint.Attempt, admittedAt time.Time) (*run, error) {
-	if err := e.checkAllowed(&attempt.Meta); err != nil {
-		return nil, err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	// The backend server may have left or begun to drain after checkAllowed. Either is refused as Draining.
-	if e.backend == nil || e.backend.Draining {
-		return nil, eelgrasspoint.Refuse(eelgrasspoint.Draining, "")
-	}
-	suspect := e.options.Quarantiner.Status(attempt.Meta.Fingerprint) == quarantiner.Suspect
-	if suspect && e.runningSuspects > 0 {
-		return nil, eelgrasspoint.Refuse(eelgrasspoint.Overloaded, "another request suspected of causing crashes is in flight")
-	}
-	r := &run{
-		executor: e, attempt: attempt, backend: *e.backend, transport: e.transport,
-		crashesAtStart: e.suspectedCrashes, suspect: suspect, admittedAt: admittedAt, startedAt: e.options.Clock(),
-	}
-	if suspect {
-		e.runningSuspects++
-	}
-	e.runs[r] = struct{}{}
-	r.crowded = len(e.runs) > admitter.FastSlots(int(e.backend.Slots))
-	r.usualSpeed = e.hasFreshLoadReport() && e.loadReport.load.Slowness < usualSlownessLimit
-	e.watch(r)
-	return r, nil
-}
-
-// usualSlownessLimit is the slowness below which a backend server runs at its usual speed.
-const usualSlownessLimit = 1.25
-
 // finish releases the slot of the run, passes the sample to the admitter and, if the run succeeded, clears
 // the suspicion of its request. It records an event if the admitter then counts the backend server as cold
 // or gives up its last slots. Only the first call for a run has an effect.
@@ -306,12 +196,3 @@
 		e.record(eelgrasspoint.EventLastSlotsGivenUp, r.backend.Service, fmt.Sprintf("at most %d of %d slots are used from now on: requests in the last slots took longer", admitter.FastSlots(int(r.backend.Slots)), r.backend.Slots))
 	}
 }
-
-func zoneOutOfService(snapshot *eelgrasspoint.Snapshot) bool {
-	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
-		if zone.Name == snapshot.Self.AvailabilityZone {
-			return zone.OutOfService
-		}
-	}
-	return false
-}
--- a/coordination/executor/reset_test.go
+++ b/coordination/executor/reset_test.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,31 +15,15 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/standin/babbler"
+	"eelgrasspoint/standin/narrower"
 )
 
 const (
-	// The request's body does not fit into the buffers of a connection whose server doesn't read: the window is small.
-	largeBodyBytes     = 4 << 20
-	smallReceiveBuffer = 16 << 10
-	partOfAnswer       = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"
+	// largeBodyBytes is more than fits into the buffers of a connection whose server doesn't read and has a small window.
+	largeBodyBytes = 4 << 20
+	partOfAnswer   = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"
 )
 
-// listenWithSmallWindow listens on loopback; the connections that it accepts have a small window.
-func listenWithSmallWindow(t *testing.T) net.Listener {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		var err error
-		controlErr := conn.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-		})
-		return errors.Join(controlErr, err)
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener
-}
-
 // serveEarly answers the requests on all connections that the listener accepts, as answerEarly does.
 func serveEarly(listener net.Listener, end func(conn *net.TCPConn)) {
 	for {
@@ -88,7 +70,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			listener := listenWithSmallWindow(t)
+			listener, err := narrower.Listen(t.Context())
+			assert.NilError(t, err)
+			defer listener.Close()
 			_, e := startBabbler(t, babbler.Script{})
 			e.SetBackend(&eelgrasspoint.BackendServer{
 				Service: "s", Address: netip.MustParseAddrPort(listener.Addr().String()), Incarnation: 2, Slots: 64, Connections: 64,
--- a/transport/opener/patience_test.go
+++ b/transport/opener/patience_test.go
@@ -1,7 +1,6 @@
 package opener_test
 
 import (
-	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -11,22 +10,14 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint/standin/narrower"
 	"eelgrasspoint/transport/opener"
 )
 
-const smallReceiveBuffer = 16 << 10
-
 // openWithSmallWindow returns both ends of a connection that the opener opens. The window of the other end is small.
 func openWithSmallWindow(t *testing.T, o *opener.Opener) (near, far net.Conn) {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		var err error
-		controlErr := conn.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallReceiveBuffer)
-		})
-		return errors.Join(controlErr, err)
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	listener, err := narrower.Listen(t.Context())
 	assert.NilError(t, err)
 	defer listener.Close()
 	near, err = o.DialContext(t.Context(), "tcp", listener.Addr().String())
