Contacts of members that left do not hold up their planned stop

What callers would see: nothing; a node whose last requests took until shortly before the end of its stop timeout ended with `context deadline exceeded`, as an HTTP/2 server needs a second to close a connection in use.

Change: members that left or failed are called over connections of their own, one for each call.

Tests: TestStopAnswersWhatItTook, and TestCallWithoutReuseLeavesNoConnection for the messenger.

--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -38,6 +38,8 @@
 	Cluster    string
 	Controller *controller.Controller
 	Client     *http.Client
+	// DeadClient is used for members that left or failed; it keeps no connection open.
+	DeadClient *http.Client
 	Recorder   eelgrasspoint.Recorder
 	// Fetch fetches the configuration of a member if its revision is higher than after.
 	Fetch func(ctx context.Context, m eelgrasspoint.Member, after uint64)
@@ -208,5 +210,9 @@
 }
 
 func (o *Observer) client(m eelgrasspoint.Member) schema.Exchange {
-	return schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), o.options.Client)
+	client := o.options.Client
+	if !m.Alive() {
+		client = o.options.DeadClient
+	}
+	return schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), client)
 }
--- a/runner/build.go
+++ b/runner/build.go
@@ -72,7 +72,8 @@
 	r.observer = observer.New(observer.Options{
 		Tracker: r.tracker,
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
-		Witness: r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
+		DeadClient: &http.Client{Transport: messenger.NewWithoutReuse(r.controlDialer.DialContext)},
+		Witness:    r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
 		Settled: r.settle,
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -29,6 +29,14 @@
 	return &Messenger{transport: dispatcher.NewTransport(r.Dial(dial)), renewer: r}
 }
 
+// NewWithoutReuse returns a messenger that closes each connection after its call: one that stays open would hold up the
+// planned stop of the node that is called.
+func NewWithoutReuse(dial dialer.Func) *Messenger {
+	m := New(dial)
+	m.transport.DisableKeepAlives = true
+	return m
+}
+
 // RoundTrip implements http.RoundTripper. The host of the request's URL is an address and a port.
 func (m *Messenger) RoundTrip(request *http.Request) (*http.Response, error) {
 	address, err := netip.ParseAddrPort(request.URL.Host)
--- a/transport/messenger/messenger_test.go
+++ b/transport/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +67,38 @@
 	assert.Equal(t, call(t, client, address), "hello")
 }
 
+// countedConn counts as open until it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int32
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// TestCallWithoutReuseLeavesNoConnection guards against a connection that holds up the planned stop of the node that was called.
+func TestCallWithoutReuseLeavesNoConnection(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	var opened, open atomic.Int32
+	client := &http.Client{Transport: messenger.NewWithoutReuse(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		opened.Add(1)
+		open.Add(1)
+		return &countedConn{Conn: conn, open: &open}, err
+	})}
+	const calls = 3
+	for range calls {
+		assert.Equal(t, call(t, client, address), "hello")
+	}
+	assert.Equal(t, opened.Load(), int32(calls))
+	for deadline := time.Now().Add(time.Second); open.Load() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%d connections are open", open.Load())
+	}
+}
+
 // serve starts an HTTP/2 server without TLS and returns its address.
 func serve(t *testing.T, handler http.HandlerFunc) string {
 	t.Helper()
