A process does not believe the first announcement when nobody can know whether its server left

What callers would see: requests at a server that left, after its departure was acknowledged while the store was down and all nodes were killed or stopped at once before it was back, so that all copies of the departure were gone.

Cause: once the sources of departures had answered, the first announcement was applied, also a late one. A process that has just started cannot tell a late one from the next.

The departure is in no process and no row, and AnnouncementHeld ends with DeparturesRestored, 0 departures.

Change: the first lifetime that a process gets to know, if it began before the process, is used once its server denies in a health check that it leaves; one that says that it leaves is recorded as a departure.

Also closes a connection whose socket can't be read.

--- a/coordination/controller/announcements.go
+++ b/coordination/controller/announcements.go
@@ -8,12 +8,17 @@
 
 // ApplyAnnouncement applies an announcement of the local backend server. An announcement that is late
 // or belongs to an earlier or departed lifetime is recorded and ignored. One that is held until the departures are
-// restored has no effect until then.
+// restored, or until its lifetime is confirmed, has no effect until then.
 type ApplyAnnouncement struct{ eelgrasspoint.Announcement }
 
 func (a ApplyAnnouncement) apply(c *Controller) {
 	if c.holds(&a.Announcement) {
-		c.hold(a)
+		c.hold(a, "the departures are restored")
+		return
+	}
+	if c.needsConfirmation(&a.Announcement) {
+		c.hold(a, "its lifetime, which may have left before this process began, is confirmed")
+		c.options.Confirm(a.Announcement)
 		return
 	}
 	accepted := c.lifetime.accept(&a.Announcement, c.options.Clock())
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -45,8 +45,10 @@
 	// restored is set once the departures that an earlier process of the node recorded are known, or none can be in
 	// force any more.
 	restored bool
-	// held are the announcements that wait for restored, in order of arrival.
-	held []ApplyAnnouncement
+	// held are the announcements that wait for restored or for a confirmation, in order of arrival.
+	held         []ApplyAnnouncement
+	confirmation confirmation
+	startedAt    time.Time
 }
 
 // Options are the settings and dependencies of a controller.
@@ -63,6 +65,9 @@
 	// Restoring holds announcements until EndRestore, since an earlier process of the node may have acknowledged that
 	// their lifetime leaves.
 	Restoring bool
+	// Confirm asks the backend server of an announcement whether it leaves, and submits ConfirmLifetime if it denies that. It
+	// must not wait for the answer. Without it, no announcement waits for a confirmation.
+	Confirm func(eelgrasspoint.Announcement)
 	// AnnouncementTTL is how long an announcement stays valid; zero means the default.
 	AnnouncementTTL time.Duration
 	// ZoneBack is called when the node's availability zone is in service again; it is optional.
@@ -93,6 +98,7 @@
 		gossipUntil:      make(map[string]time.Time),
 		configuration:    &eelgrasspoint.Configuration{},
 		restored:         !options.Restoring,
+		startedAt:        options.Clock(),
 	}
 	c.router = router.New(&c.configuration.Document)
 	c.members[c.self.Name] = c.self
--- a/coordination/controller/departures.go
+++ b/coordination/controller/departures.go
@@ -27,10 +27,7 @@
 	c.restored = true
 	c.record(eelgrasspoint.EventDeparturesRestored, "", c.self.AvailabilityZone,
 		fmt.Sprintf("%s; departures: %d, held announcements: %d", e.Source, len(c.lifetime.departures), len(c.held)))
-	for _, a := range c.held {
-		a.apply(c)
-	}
-	c.held = nil
+	c.applyHeld()
 }
 
 // maxHeld is the number of held announcements, beyond which the oldest is dropped.
@@ -41,9 +38,10 @@
 	return !c.restored && a.Backend != nil && !a.Backend.Draining && identifiesLifetime(a)
 }
 
-func (c *Controller) hold(a ApplyAnnouncement) {
+// hold keeps the announcement until the event that it waits for.
+func (c *Controller) hold(a ApplyAnnouncement, until string) {
 	c.record(eelgrasspoint.EventAnnouncementHeld, a.Backend.Service, c.self.AvailabilityZone, fmt.Sprintf(
-		"announcement of %q, incarnation %d, sequence %d waits until the departures are restored", a.ID, a.Incarnation, a.Sequence))
+		"announcement of %q, incarnation %d, sequence %d waits until %s", a.ID, a.Incarnation, a.Sequence, until))
 	c.held = append(c.held, a)
 	c.held = c.held[max(0, len(c.held)-maxHeld):]
 }
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -28,16 +28,17 @@
 // newRestoringNode returns a node that does not know yet which lifetimes left.
 func newRestoringNode() *node { return newNodeWith(true) }
 
-func newNodeWith(restoring bool) *node {
+func newNodeWith(restoring bool) *node { return newNodeFor(controller.Options{Restoring: restoring}) }
+
+// newNodeFor returns a node with the options, to which what every node needs is added.
+func newNodeFor(options controller.Options) *node {
 	n := &node{}
-	n.Controller = controller.New(controller.Options{
-		Restoring:  restoring,
-		Self:       eelgrasspoint.Member{Name: "self", Region: "r", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")},
-		Holder:     holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}}),
-		Recorder:   discardRecorder{},
-		Clock:      time.Now,
-		SetBackend: func(b *eelgrasspoint.BackendServer) { n.backend = b },
-	})
+	options.Self = eelgrasspoint.Member{Name: "self", Region: "r", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1")}
+	options.Holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
+	options.Recorder = discardRecorder{}
+	options.Clock = time.Now
+	options.SetBackend = func(b *eelgrasspoint.BackendServer) { n.backend = b }
+	n.Controller = controller.New(options)
 	return n
 }
 
--- a/runner/build.go
+++ b/runner/build.go
@@ -63,7 +63,7 @@
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
 		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.InvalidateReports,
-		Restoring: true,
+		Restoring: true, Confirm: r.confirmation(),
 	})
 	r.fetcher = fetcher.New(fetcher.Options{
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
--- a/transport/opener/patience.go
+++ b/transport/opener/patience.go
@@ -42,6 +42,7 @@
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
+		_ = conn.Close()
 		return nil, err
 	}
 	return &patientConn{Conn: conn, raw: raw, timeout: timeout}, nil
