Soak: overlapping changes of a route are ordered by their revisions

Cause: the check took the change that was sent last for the one in force. Two calls overlapped: the first one sent, to bench, waited and became revision 3 at 16.0 s; the second, to ledger, became revision 2 at 14.6 s (as the log says now). Requests at bench were right.

Change: of two accepted changes, the one of the higher revision is later. Of one whose result is unknown, only changes that were sent after its call had ended are later, since it may take effect until then at least. Otherwise the check is as strict as before: the last change that is in force everywhere, and those that may be later.

--- a/standin/soak/operator.go
+++ b/standin/soak/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	mu sync.Mutex
 	// outOfServiceIntervals are the intervals in which a zone is certain to be out of service, by zone.
 	outOfServiceIntervals map[string][]interval
-	// routeChanges are the changes of the moving route, oldest first.
+	// routeChanges are the changes of the moving route, in the order in which they were sent.
 	routeChanges []routeChange
 	// revision is the highest accepted revision, acceptedAt when it was accepted.
 	revision   uint64
@@ -31,9 +32,25 @@
 // routeChange is a change of the moving route to another service.
 type routeChange struct {
 	service string
-	// sentAt is when the change was sent, which no check uses; acceptedAt is when its acceptance was known,
-	// or zero if the change is not known to be accepted.
-	sentAt, acceptedAt time.Time
+	// sentAt and endedAt are when the call for the change began and ended; endedAt is zero before.
+	sentAt, endedAt time.Time
+	// revision is that of the change, or zero if it is not known to be accepted.
+	revision uint64
+}
+
+// inForceBy reports whether the change is known to be in force everywhere at a time, unless a later one replaces it.
+func (c *routeChange) inForceBy(at time.Time) bool {
+	return c.revision != 0 && c.endedAt.Add(propagationLimit).Before(at)
+}
+
+// isBefore reports whether the change is known to have taken effect before the other one, or not at all. Calls overlap, so that
+// accepted changes are ordered by their revisions. Whether the change took effect may be unknown: then only a change that
+// was sent after its call had ended is later.
+func (c *routeChange) isBefore(other *routeChange) bool {
+	if c.revision != 0 {
+		return c.revision < other.revision
+	}
+	return !c.endedAt.IsZero() && other.sentAt.After(c.endedAt)
 }
 
 // homeRegion is the home region of the statements route.
@@ -57,10 +74,11 @@
 		{Name: "statements", PathPrefix: "/statements", Service: "ledger", Weight: 2, Idempotent: true, TimeLimit: limit, HomeRegions: []string{homeRegion}},
 		movingRoute(services[0]),
 	}
-	if !o.apply(ctx, document) {
+	revision := o.apply(ctx, document)
+	if revision == 0 {
 		return fmt.Errorf("the initial configuration was not accepted")
 	}
-	o.routeChanges = []routeChange{{service: services[0], sentAt: o.acceptedAt, acceptedAt: o.acceptedAt}}
+	o.routeChanges = []routeChange{{service: services[0], sentAt: o.acceptedAt, endedAt: o.acceptedAt, revision: revision}}
 	return nil
 }
 
@@ -70,8 +88,8 @@
 }
 
 // apply sends a change to a random node, with two retries at random nodes under the same identifier,
-// and reports whether it is known to be accepted.
-func (o *operator) apply(ctx context.Context, document *schema.Document) bool {
+// and returns the revision of the change, or zero if it is not known to be accepted.
+func (o *operator) apply(ctx context.Context, document *schema.Document) uint64 {
 	s := o.soak
 	// Force lets each zone be taken out of service, also if it is the last with a service's backend servers.
 	request := &schema.ApplyRequest{ChangeId: uuid.NewString(), Put: document, Force: zones}
@@ -84,10 +102,10 @@
 			if response.GetRevision() > o.revision {
 				o.revision, o.acceptedAt = response.GetRevision(), time.Now()
 			}
-			return true
+			return response.GetRevision()
 		}
 	}
-	return false
+	return 0
 }
 
 // setZone takes a zone out of service or back in. It records since when the zone is out of service if that
@@ -96,7 +114,7 @@
 	if !outOfService {
 		o.endOutOfService(zone)
 	}
-	accepted := o.apply(ctx, &schema.Document{AvailabilityZones: []*schema.AvailabilityZone{{Name: zone, Region: zone[:6], OutOfService: outOfService}}})
+	accepted := o.apply(ctx, &schema.Document{AvailabilityZones: []*schema.AvailabilityZone{{Name: zone, Region: zone[:6], OutOfService: outOfService}}}) != 0
 	o.soak.logf("change of zone %s to OutOfService=%v: accepted=%v", zone, outOfService, accepted)
 	if !outOfService || !accepted {
 		return
@@ -138,31 +156,23 @@
 	o.routeChanges = append(o.routeChanges, routeChange{service: next, sentAt: time.Now()})
 	index := len(o.routeChanges) - 1
 	o.mu.Unlock()
-	accepted := o.apply(ctx, &schema.Document{Routes: []*schema.Route{movingRoute(next)}})
-	o.soak.logf("change of route \"moving\" to service %s: accepted=%v", next, accepted)
-	if !accepted {
-		return
-	}
+	revision := o.apply(ctx, &schema.Document{Routes: []*schema.Route{movingRoute(next)}})
+	o.soak.logf("change of route \"moving\" to service %s: accepted=%v, revision %d", next, revision != 0, revision)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.routeChanges[index].acceptedAt = time.Now()
+	o.routeChanges[index].endedAt, o.routeChanges[index].revision = time.Now(), revision
 }
 
 // allowedAt reports whether a request of the moving route that started at requestStartedAt may run at the
-// service. The allowed services are that of the last change accepted more than propagationLimit before
-// requestStartedAt and those of all later changes, accepted or not.
+// service: whether one of the changes to it is not known to be replaced everywhere by then.
 func (o *operator) allowedAt(service string, requestStartedAt time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for i := len(o.routeChanges) - 1; i >= 0; i-- {
-		if o.routeChanges[i].service == service {
-			return true
-		}
-		if accepted := o.routeChanges[i].acceptedAt; !accepted.IsZero() && accepted.Add(propagationLimit).Before(requestStartedAt) {
-			return false
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.routeChanges, func(c routeChange) bool {
+		return c.service == service && !slices.ContainsFunc(o.routeChanges, func(later routeChange) bool {
+			return later.inForceBy(requestStartedAt) && c.isBefore(&later)
+		})
+	})
 }
 
 // propagationLimit is the time within which an accepted change is in force at all nodes.
