--- a/transport/opener/patience_test.go
+++ b/transport/opener/patience_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint"
 	"eelgrasspoint/standin/narrower"
 	"eelgrasspoint/transport/opener"
 )
@@ -31,7 +32,7 @@
 // TestConnectionOutlastsASlowReader guards against a request that is broken off, as its server does not read the body for a
 // while: both where the body fits into the buffers of the sender and where its write waits.
 func TestConnectionOutlastsASlowReader(t *testing.T) {
-	const timeout = 300 * time.Millisecond
+	const timeout = eelgrasspoint.BackendSilenceLimit
 	for name, bytes := range map[string]int{"the body is buffered": 64 << 10, "the write waits": 16 << 20} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -42,7 +43,7 @@
 				written <- err
 			}()
 			for range 2 {
-				time.Sleep(5 * timeout)
+				time.Sleep(4 * timeout)
 				_, err := io.CopyN(io.Discard, far, int64(bytes/2))
 				assert.NilError(t, err)
 			}
