--- a/runner/confirm_test.go
+++ b/runner/confirm_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -11,15 +9,12 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/parser"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/runner"
-	"eelgrasspoint/state/loader"
 	"eelgrasspoint/state/storer"
 )
 
@@ -39,44 +34,17 @@
 // service bench with health checks.
 func startAnnouncedNode(t *testing.T) (*runner.Runner, func(context.Context, eelgrasspoint.Announcement) error) {
 	t.Helper()
-	listeners := make(openListeners)
-	settings := &loader.Settings{
-		Name: "n", Cluster: "stage", Region: "almaty", AvailabilityZone: "almaty-a", PlatformRegion: "almaty",
-		CallerAddress: listeners.open(t), PeerAddress: listeners.open(t), ControlAddress: listeners.open(t),
-		LogLevel: "debug", ColdOvershoot: 1, MaxBodyBytes: 1 << 20, StopTimeout: time.Second, Service: "bench",
-	}
-	settings.AdvertisedAddress = settings.PeerAddress
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	table := storer.New()
 	var announce func(context.Context, eelgrasspoint.Announcement) error
-	node := runner.New(runner.Options{
-		Settings: settings, Dial: (&net.Dialer{}).DialContext, Listen: listeners.listen, Log: log, Clock: time.Now, Seed: 1,
-		Table:    func(func(call, result string)) eelgrasspoint.Table { return table },
-		Contract: identifyingContract{parser.New()}, TellsLoad: true,
-		Announcements: func(f func(context.Context, eelgrasspoint.Announcement) error, _ eelgrasspoint.Recorder) http.Handler {
+	settings, node := startNodeWith(t, "n", storer.New(), func(options *runner.Options) {
+		options.Settings.Service = "bench"
+		options.Contract, options.TellsLoad = identifyingContract{parser.New()}, true
+		options.Announcements = func(f func(context.Context, eelgrasspoint.Announcement) error, _ eelgrasspoint.Recorder) http.Handler {
 			announce = f
 			return http.NotFoundHandler()
-		},
-	})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		assert.Check(t, node.Run(context.Background()) == nil)
-	}()
-	t.Cleanup(func() {
-		node.Abort()
-		<-done
+		}
 	})
 	operators := schema.NewOperatorsProtobufClient("http://"+settings.ControlAddress.String(), &http.Client{})
-	response, err := operators.Apply(t.Context(), &schema.ApplyRequest{Put: &schema.Document{
-		Regions:           []*schema.Region{{Name: "almaty"}},
-		AvailabilityZones: []*schema.AvailabilityZone{{Name: "almaty-a", Region: "almaty"}},
-		Services:          []*schema.Service{{Name: "bench", HealthPath: "/health"}},
-		Routes:            []*schema.Route{{Name: "rest", PathPrefix: "/", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(time.Second)}},
-	}})
-	assert.NilError(t, err)
-	assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
+	applyBench(t, operators, &schema.Service{Name: "bench", HealthPath: "/health"})
 	return node, announce
 }
 
--- a/runner/endless_test.go
+++ b/runner/endless_test.go
@@ -73,37 +73,51 @@
 		}
 		return false
 	})
+	applyBench(t, operators, &schema.Service{Name: "bench"},
+		&schema.Route{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)})
+	time.Sleep(time.Second)
+	return n
+}
+
+// applyBench applies a configuration with the service, which is named bench, and the routes, besides one for all other paths.
+func applyBench(t *testing.T, operators schema.Operators, service *schema.Service, routes ...*schema.Route) {
+	t.Helper()
+	rest := &schema.Route{Name: "rest", PathPrefix: "/", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)}
 	response, err := operators.Apply(t.Context(), &schema.ApplyRequest{Put: &schema.Document{
 		Regions:           []*schema.Region{{Name: "almaty"}},
 		AvailabilityZones: []*schema.AvailabilityZone{{Name: "almaty-a", Region: "almaty"}},
-		Services:          []*schema.Service{{Name: "bench"}},
-		Routes: []*schema.Route{
-			{Name: "bookings", PathPrefix: "/bookings", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)},
-			{Name: "rest", PathPrefix: "/", Service: "bench", Kind: "booking", TimeLimit: durationpb.New(bodyTimeLimit)},
-		},
+		Services:          []*schema.Service{service},
+		Routes:            append(routes, rest),
 	}})
 	assert.NilError(t, err)
 	assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
-	time.Sleep(time.Second)
-	return n
 }
 
 func startNode(t *testing.T, name string, table eelgrasspoint.Table, peers []netip.AddrPort) *loader.Settings {
+	t.Helper()
+	settings, _ := startNodeWith(t, name, table, func(options *runner.Options) { options.Settings.Peers = peers })
+	return settings
+}
+
+// startNodeWith starts a node whose options are changed by the function.
+func startNodeWith(t *testing.T, name string, table eelgrasspoint.Table, change func(*runner.Options)) (*loader.Settings, *runner.Runner) {
 	t.Helper()
 	listeners := make(openListeners)
 	settings := &loader.Settings{
-		Name: name, Cluster: "stage", Region: "almaty", AvailabilityZone: "almaty-a", PlatformRegion: "almaty", Peers: peers,
+		Name: name, Cluster: "stage", Region: "almaty", AvailabilityZone: "almaty-a", PlatformRegion: "almaty",
 		CallerAddress: listeners.open(t), PeerAddress: listeners.open(t), ControlAddress: listeners.open(t),
 		LogLevel: "debug", ColdOvershoot: 1, MaxBodyBytes: 64 << 20, StopTimeout: time.Second,
 	}
 	settings.AdvertisedAddress = settings.PeerAddress
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	node := runner.New(runner.Options{
+	options := runner.Options{
 		Settings: settings, Dial: (&net.Dialer{}).DialContext, Listen: listeners.listen, Log: log, Clock: time.Now, Seed: 1,
 		Limiter: limiter.NewFixed(maxRequests),
 		Table:   func(func(call, result string)) eelgrasspoint.Table { return table },
-	})
+	}
+	change(&options)
+	node := runner.New(options)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -113,7 +127,7 @@
 		node.Abort()
 		<-done
 	})
-	return settings
+	return settings, node
 }
 
 // openListeners are listeners by address, opened before their node starts, so that no other process gets one of
