Soak: a request that a stalled link held back is not too late at a server that left

Cause: the check knows nothing of links. A stall of the link to the server held the request back.

Evidence: the stall lasts from 3.595 s for 5.511 s, so until 9.106 s; the leave was acknowledged at 8.003 s and the requests ran at 9.107 s. Both have AttemptFailed lines of the process before the kill (TimedOut), so they were sent before the leave. The next process restored the departure and ignored all 30 late registrations (AnnouncementStale).

Change: a run is excused if its request was sent before the leave, a stall of requests on the link to its server had begun before that, and the run came within 0.2 s after the end of the stall. All others count as before.

--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -206,7 +206,7 @@
 	if undisturbed && c.soak.operator.outOfServiceFor(backendRun.vm.zone, backendRun.at, zoneOutLimit) {
 		c.addViolation("zone out of service", "%s ran at %s, %v after the start of the soak, though its zone was out of service", r.id, backendRun.vm.name, at)
 	}
-	if leftAt, hasLeft := c.leftAt[backendRun.incarnation]; hasLeft && backendRun.at.After(leftAt.Add(leaveInFlightLimit)) {
+	if leftAt, hasLeft := c.leftAt[backendRun.incarnation]; hasLeft && backendRun.at.After(leftAt.Add(leaveInFlightLimit)) && !backendRun.vm.heldBack(r.startedAt, leftAt, backendRun.at) {
 		c.addViolation("backend server left", "%s ran at %s, %v after the leave of the backend server was acknowledged", r.id, backendRun.vm.name, backendRun.at.Sub(leftAt))
 	}
 	// The entry node must have been undisturbed from propagationLimit plus the catchUpLimit of
--- a/standin/soak/operator_test.go
+++ b/standin/soak/checks_test.go
@@ -43,3 +43,29 @@
 		})
 	}
 }
+
+// TestHeldBackRequests guards against a run of the soak that counts a request as too late at a server that left, though a stalled
+// link held it back, and against one that excuses others.
+func TestHeldBackRequests(t *testing.T) {
+	at := func(seconds float64) time.Time {
+		return time.Unix(0, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	const left = 8.0
+	v := &vm{requestStalls: []interval{{from: at(3.6), to: at(9.1)}}}
+	cases := []struct {
+		name      string
+		sent, ran float64
+		held      bool
+	}{
+		{"sent before the leave, released at the end of the stall", 7, 9.105, true},
+		{"sent after the leave", 8.1, 9.105, false},
+		{"ran before the end of the stall", 7, 8.7, false},
+		{"ran long after the end of the stall", 7, 9.5, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, v.heldBack(at(c.sent), at(left), at(c.ran)), c.held) })
+	}
+	lasting := &vm{requestStalls: []interval{{from: at(3.6)}}}
+	assert.Assert(t, !lasting.heldBack(at(7), at(left), at(9.1)), "the stall has not ended")
+	assert.Assert(t, !(&vm{}).heldBack(at(7), at(left), at(9.1)), "nothing was stalled")
+}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -246,9 +246,13 @@
 // stallLink holds back the bytes of a link in one or both directions, then forwards them.
 func stallLink(_ *Soak, v *vm, e Event) {
 	l := v.chooseLink(e.Figure)
-	l.SetStall([]proxy.Stall{{ToTarget: true}, {FromTarget: true}, {ToTarget: true, FromTarget: true}}[e.Figure/3%3])
+	stall := []proxy.Stall{{ToTarget: true}, {FromTarget: true}, {ToTarget: true, FromTarget: true}}[e.Figure/3%3]
+	l.SetStall(stall)
+	defer l.SetStall(proxy.Stall{})
+	if l == v.backendLink && stall.ToTarget {
+		defer v.openInterval(&v.requestStalls)()
+	}
 	time.Sleep(e.Lasts)
-	l.SetStall(proxy.Stall{})
 }
 
 // stallConnections stalls the open connections of a link for good; new ones work.
--- a/standin/soak/vm.go
+++ b/standin/soak/vm.go
@@ -39,6 +39,8 @@
 	// disturbances are the intervals of faults at the VM; guarantees that need an undisturbed VM are not
 	// checked then.
 	disturbances []interval
+	// requestStalls are the stalls of backendLink that hold back requests.
+	requestStalls []interval
 	// plannedStops last from SIGTERM until the restarted node listens.
 	plannedStops []interval
 	// handler is the backend server, and incarnation identifies it.
@@ -234,6 +236,19 @@
 	return overlaps(v.plannedStops, from, to)
 }
 
+// releaseTolerance is how long after the end of a stall a request that was held back reaches the backend server.
+const releaseTolerance = 200 * time.Millisecond
+
+// heldBack reports whether a request that was sent before the leave of the backend server was held back by a stall of the link to
+// it, and reached it when the stall ended.
+func (v *vm) heldBack(sentAt, leftAt, ranAt time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return sentAt.Before(leftAt) && slices.ContainsFunc(v.requestStalls, func(i interval) bool {
+		return i.from.Before(leftAt) && !ranAt.Before(i.to) && ranAt.Sub(i.to) < releaseTolerance
+	})
+}
+
 func overlaps(intervals []interval, from, to time.Time) bool {
 	return slices.ContainsFunc(intervals, func(i interval) bool {
 		return i.from.Before(to) && (i.to.IsZero() || i.to.After(from))
