A server that reads a part and pauses again keeps its connection

What callers would see: 502 for an upload whose server reads in parts with pauses of a second or more.

The system counts a closed window from its first probe, also while it opens a little, so that the restored timeout ended the connection at the next probe.

Change: a lifted timeout is restored once everything is acknowledged and no write waits, or once nothing that is in flight has been acknowledged for the time of the timeout, or window probes stay unanswered.

Why it works: as long as acknowledgements come, the server lives; an idle connection has its timeout again for the next request.

Tests: TestLiftedTimeoutOutlastsDataInFlight, and the four reads.

--- a/transport/opener/patience.go
+++ b/transport/opener/patience.go
@@ -85,7 +85,7 @@
 		return
 	}
 	c.watched = c.writes > 0 || !queue.empty()
-	if lift := c.watched && queue.waitsForWindow(); lift != c.lifted && c.setTimeout(lift) == nil {
+	if lift := c.watched && c.mayLift(queue); lift != c.lifted && c.setTimeout(lift) == nil {
 		c.lifted = lift
 	}
 	if c.watched {
@@ -93,6 +93,15 @@
 	}
 }
 
+// mayLift reports whether the timeout is to be lifted, or to stay so. Once it is lifted, only silence restores it: the system
+// counts from the first probe of a window that was never quite open since, so that it would end the connection at once.
+func (c *patientConn) mayLift(queue sendQueue) bool {
+	if c.lifted {
+		return !queue.silentFor(c.timeout)
+	}
+	return queue.waitsForWindow()
+}
+
 // setTimeout lifts or restores the timeout. The system's own limit of some minutes holds without it.
 func (c *patientConn) setTimeout(lift bool) error {
 	if lift {
@@ -107,6 +116,8 @@
 	unacknowledged, unsentBytes uint32
 	// unansweredProbes is the number of window probes since the last one that was answered.
 	unansweredProbes uint8
+	// sinceAcknowledged is the time since the other side last acknowledged anything.
+	sinceAcknowledged time.Duration
 }
 
 func (q sendQueue) empty() bool { return q.unacknowledged == 0 && q.unsentBytes == 0 }
@@ -116,6 +127,11 @@
 	return q.unacknowledged == 0 && q.unansweredProbes <= maxUnansweredProbes
 }
 
+// silentFor reports whether the other side has answered nothing that it should have for the time.
+func (q sendQueue) silentFor(limit time.Duration) bool {
+	return q.unacknowledged > 0 && q.sinceAcknowledged >= limit || q.unansweredProbes > maxUnansweredProbes
+}
+
 func (c *patientConn) readQueue() (sendQueue, error) {
 	var info *unix.TCPInfo
 	var err error
@@ -128,5 +144,8 @@
 	if err != nil {
 		return sendQueue{}, err
 	}
-	return sendQueue{unacknowledged: info.Unacked, unsentBytes: info.Notsent_bytes, unansweredProbes: info.Probes}, nil
+	return sendQueue{
+		unacknowledged: info.Unacked, unsentBytes: info.Notsent_bytes, unansweredProbes: info.Probes,
+		sinceAcknowledged: time.Duration(info.Last_ack_recv) * time.Millisecond,
+	}, nil
 }
--- a/transport/opener/patience_test.go
+++ b/transport/opener/patience_test.go
@@ -32,7 +32,7 @@
 // TestConnectionOutlastsASlowReader guards against a request that is broken off, as its server does not read the body for a
 // while: both where the body fits into the buffers of the sender and where its write waits.
 func TestConnectionOutlastsASlowReader(t *testing.T) {
-	const timeout = eelgrasspoint.BackendSilenceLimit
+	const timeout, reads = eelgrasspoint.BackendSilenceLimit, 4
 	for name, bytes := range map[string]int{"the body is buffered": 64 << 10, "the write waits": 16 << 20} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -42,9 +42,9 @@
 				_, err := near.Write(make([]byte, bytes))
 				written <- err
 			}()
-			for range 2 {
+			for range reads {
 				time.Sleep(4 * timeout)
-				_, err := io.CopyN(io.Discard, far, int64(bytes/2))
+				_, err := io.CopyN(io.Discard, far, int64(bytes/reads))
 				assert.NilError(t, err)
 			}
 			assert.NilError(t, <-written)
--- a/transport/opener/queue_test.go
+++ b/transport/opener/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -23,3 +24,25 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.queue.waitsForWindow(), c.waits) })
 	}
 }
+
+// TestLiftedTimeoutOutlastsDataInFlight guards against a timeout that is restored, and ends the connection at once, as the other
+// side has read a part; and against one that stays lifted on a connection that has fallen silent.
+func TestLiftedTimeoutOutlastsDataInFlight(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	cases := []struct {
+		name   string
+		queue  sendQueue
+		lifted bool
+	}{
+		{"the window is closed", sendQueue{unsentBytes: 9000, sinceAcknowledged: 4 * timeout}, true},
+		{"segments in flight", sendQueue{unacknowledged: 1, unsentBytes: 9000, sinceAcknowledged: timeout / 2}, true},
+		{"segments in flight, no acknowledgement", sendQueue{unacknowledged: 1, unsentBytes: 9000, sinceAcknowledged: timeout}, false},
+		{"window probes are not answered", sendQueue{unsentBytes: 9000, unansweredProbes: 2}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			conn := &patientConn{timeout: timeout, lifted: true}
+			assert.Equal(t, conn.mayLift(c.queue), c.lifted)
+		})
+	}
+}
