review: case 11, an evacuation after the store's restore is never in force

The store comes back from a copy that is 3 s old, with versions below those that the nodes have read; the evacuation that the operator orders 7 s later is acknowledged and no node puts it in force.

--- /dev/null
+++ b/review/11/_harness/instance.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	slots        = 13
+	beatInterval = 1500 * time.Millisecond
+)
+
+// arrival is a request that an instance has run.
+type arrival struct {
+	At       time.Time
+	Instance string
+	Zone     string
+	ID       string
+	Path     string
+	Caller   string
+}
+
+// instance is a stand-in for an instance of a service.
+type instance struct {
+	id, service, zone, address, announceTo string
+	born                                   int64
+	work                                   time.Duration
+	record                                 func(arrival)
+
+	running  atomic.Int32
+	sequence atomic.Uint64
+	mu       sync.Mutex
+	limit    string
+	leaving  bool
+	server   *http.Server
+	stop     context.CancelFunc
+}
+
+func (i *instance) start() error {
+	listener, err := net.Listen("tcp", i.address)
+	if err != nil {
+		return err
+	}
+	i.born = time.Now().UnixMilli()
+	i.server = &http.Server{Handler: i}
+	go func() { _ = i.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go i.beat(ctx)
+	return nil
+}
+
+func (i *instance) close() {
+	if i.stop != nil {
+		i.stop()
+		_ = i.server.Close()
+	}
+}
+
+// beat reports the instance to its node until the context ends.
+func (i *instance) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		i.announce("ready")
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatInterval):
+		}
+	}
+}
+
+// announce makes one liveness report, and reports whether it was acknowledged.
+func (i *instance) announce(state string) bool {
+	body, _ := json.Marshal(map[string]any{
+		"Address":     i.address,
+		"born":        i.born,
+		"Information": map[string]any{"Service": i.service, "Version": "v1", "Zone": i.zone, "Slots": slots},
+		"Status":      map[string]any{"State": state, "Sequence": i.sequence.Add(1), "ColdRemainingS": 0},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.announceTo+"/api/instances/"+i.id, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode/100 == 2
+}
+
+func (i *instance) setNotice(limit string, leaving bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.limit, i.leaving = limit, leaving
+}
+
+// ServeHTTP implements http.Handler.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.mu.Lock()
+	limit, leaving := i.limit, i.leaving
+	i.mu.Unlock()
+	header := w.Header()
+	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
+	if limit != "" {
+		header.Set("Server-Limit", limit)
+	}
+	if leaving {
+		header.Set("Server-Leaving", "1")
+	}
+	if r.URL.Path == "/health" {
+		header.Set("X-Instance-Id", i.id)
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	header.Set("X-Request-Id", id)
+	switch expected := r.Header.Get("X-Expect-Instance"); {
+	case expected != "" && expected != i.id:
+		header.Set("X-Instance-Id", i.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case id == "":
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if i.running.Add(1) > slots {
+		i.running.Add(-1)
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer i.running.Add(-1)
+	i.record(arrival{time.Now(), i.id, i.zone, id, r.URL.Path, r.Header.Get("X-Caller-Service")})
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-time.After(i.work):
+	case <-r.Context().Done():
+		return
+	}
+	header.Set("X-Server-Stamp", "stamp-"+id)
+	_, _ = io.WriteString(w, "answer of "+i.id+" to "+id+"\n")
+}
