--- a/review/11/_harness/cluster.go
+++ b/review/11/_harness/cluster.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,7 +19,7 @@
 	zoneB      = "almaty-b"
 	region     = "almaty"
 	clientRate = 20
-	workTime   = 20 * time.Millisecond
+	workTime   = 70 * time.Millisecond
 	readyTime  = 15 * time.Second
 	callPeriod = time.Second / clientRate
 )
@@ -56,7 +58,7 @@
 		}
 		c.nodes = append(c.nodes, n)
 		i := &instance{
-			id: fmt.Sprintf("i-%s-%d", zone, k/2+1), service: service, zone: zone, address: a.backend, announceTo: a.controlPlane,
+			name: fmt.Sprintf("i-%s-%d", zone, k/2+1), service: service, zone: zone, address: a.backend, announceTo: a.controlPlane,
 			work: workTime, record: rec.ran,
 		}
 		if err := i.start(); err != nil {
@@ -102,10 +104,9 @@
 	value, _ := json.Marshal(map[string]any{
 		"Version": fmt.Sprintf("%08x", version),
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-		"Listeners": []any{map[string]any{"Host": host, "Rules": []any{map[string]any{
-			"Name": "r-shop", "Kind": "safe", "TargetLatencyS": 0.3, "Priority": 2, "Match": map[string]any{"Prefix": "/shop/"},
-			"Action": map[string]any{"Service": service, "TimeoutS": timeoutS, "MaxAttempts": 2, "AllowedRegions": []string{}},
-		}}}},
+		"Listeners": []any{map[string]any{"Host": host, "Rules": []any{
+			rule("r-shop", "safe", "/shop/", timeoutS), rule("r-pay", "unsafe", "/pay/", timeoutS),
+		}}},
 		"Clusters": []any{map[string]any{
 			"Name": service, "HealthCheckPath": "/health", "MaxConnections": 260, "Protocol": "h1", "Tls": false, "ColdStartS": 3.0, "ColdPerS": 37.0,
 		}},
@@ -115,6 +116,13 @@
 	return at
 }
 
+func rule(name, kind, prefix string, timeoutS float64) map[string]any {
+	return map[string]any{
+		"Name": name, "Kind": kind, "TargetLatencyS": 0.3, "Priority": 2, "Match": map[string]any{"Prefix": prefix},
+		"Action": map[string]any{"Service": service, "TimeoutS": timeoutS, "MaxAttempts": 2, "AllowedRegions": []string{}},
+	}
+}
+
 func get(url string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -132,9 +140,23 @@
 
 // call sends a request to a node as a client of its machine, and returns the status of the answer.
 func (c *cluster) call(n *node, id string) int {
+	return c.send(n, id, http.MethodGet, "/shop/item", nil)
+}
+
+// book sends a booking, which must not run twice; all have the same path. The body is sent in chunks or with its length.
+func (c *cluster) book(n *node, id, body string, chunked bool) int {
+	var reader io.Reader = strings.NewReader(body)
+	if chunked {
+		// The client can't tell the length of this type.
+		reader = io.MultiReader(reader)
+	}
+	return c.send(n, id, http.MethodPost, "/pay/book", reader)
+}
+
+func (c *cluster) send(n *node, id, method, path string, body io.Reader) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.addresses.outbound+"/shop/item", nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.addresses.outbound+path, body)
 	if err != nil {
 		return 0
 	}
@@ -144,23 +166,30 @@
 	sentAt := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		c.record.write(sentAt, fmt.Sprintf("sent %s to %s: %v", id, n.name, err))
+		c.record.write(sentAt, fmt.Sprintf("sent %s %s to %s: %v", id, path, n.name, err))
 		return 0
 	}
 	defer response.Body.Close()
-	c.record.write(sentAt, fmt.Sprintf("sent %s to %s: answered %d", id, n.name, response.StatusCode))
+	_, _ = io.Copy(io.Discard, response.Body)
+	c.record.answered(id, response.StatusCode)
+	c.record.write(sentAt, fmt.Sprintf("sent %s %s to %s: answered %d", id, path, n.name, response.StatusCode))
 	return response.StatusCode
 }
 
-// clients send requests to each node until the returned function is called, which waits for their end.
-func (c *cluster) clients() (stop func()) {
+// clients send requests to each node until the returned function is called, which waits for their end. One client of each
+// machine reads, the other books, with bodies of its own.
+func (c *cluster) clients(chunked bool) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, n := range c.nodes {
 		for k := 0; k < 2; k++ {
 			running.Go(func() {
 				for count := 0; ctx.Err() == nil; count++ {
-					c.call(n, fmt.Sprintf("%s-%d-%d", n.name, k, count))
+					if id := fmt.Sprintf("%s-%d-%d", n.name, k, count); k == 0 {
+						c.call(n, id)
+					} else {
+						c.book(n, id, "the booking "+id, chunked)
+					}
 					time.Sleep(callPeriod)
 				}
 			})
--- a/review/11/_harness/instance.go
+++ b/review/11/_harness/instance.go
@@ -25,46 +25,87 @@
 	Zone     string
 	ID       string
 	Path     string
-	Caller   string
+	// Crashes is set if the request crashes the instance.
+	Crashes bool
 }
 
 // instance is a stand-in for an instance of a service.
 type instance struct {
-	id, service, zone, address, announceTo string
-	born                                   int64
-	work                                   time.Duration
-	record                                 func(arrival)
+	name, service, zone, address, announceTo string
+	born                                     int64
+	work                                     time.Duration
+	record                                   func(arrival)
 
 	running  atomic.Int32
 	sequence atomic.Uint64
 	mu       sync.Mutex
 	limit    string
 	leaving  bool
+	closed   bool
+	lifetime int
 	server   *http.Server
 	stop     context.CancelFunc
 }
 
+// bodyCrash is the body of a request that crashes each instance that begins to run it, and crashTime how long the
+// instance is down then.
+const (
+	bodyCrash = "a booking that crashes"
+	crashTime = 2 * time.Second
+)
+
+// start begins a lifetime of the instance, with an identifier of its own.
 func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.closed {
+		return nil
+	}
 	listener, err := net.Listen("tcp", i.address)
 	if err != nil {
 		return err
 	}
+	i.lifetime++
 	i.born = time.Now().UnixMilli()
-	i.server = &http.Server{Handler: i}
-	go func() { _ = i.server.Serve(listener) }()
+	i.sequence.Store(0)
+	server := &http.Server{Handler: i}
 	ctx, cancel := context.WithCancel(context.Background())
-	i.stop = cancel
+	i.server, i.stop = server, cancel
+	go func() { _ = server.Serve(listener) }()
 	go i.beat(ctx)
 	return nil
 }
 
-func (i *instance) close() {
+// id returns the identifier of the current lifetime.
+func (i *instance) id() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return fmt.Sprintf("%s-%d", i.name, i.lifetime)
+}
+
+// end ends the lifetime without a word, as a crash does.
+func (i *instance) end() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.stop != nil {
 		i.stop()
 		_ = i.server.Close()
 	}
 }
 
+func (i *instance) close() {
+	i.mu.Lock()
+	i.closed = true
+	i.mu.Unlock()
+	i.end()
+}
+
+// crash ends the lifetime, and begins the next one after crashTime.
+func (i *instance) crash() {
+	i.end()
+	time.AfterFunc(crashTime, func() { _ = i.start() })
+}
+
 // beat reports the instance to its node until the context ends.
 func (i *instance) beat(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -86,7 +127,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.announceTo+"/api/instances/"+i.id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.announceTo+"/api/instances/"+i.id(), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -111,6 +152,7 @@
 	i.mu.Lock()
 	limit, leaving := i.limit, i.leaving
 	i.mu.Unlock()
+	instanceID := i.id()
 	header := w.Header()
 	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
 	if limit != "" {
@@ -120,7 +162,7 @@
 		header.Set("Server-Leaving", "1")
 	}
 	if r.URL.Path == "/health" {
-		header.Set("X-Instance-Id", i.id)
+		header.Set("X-Instance-Id", instanceID)
 		if leaving {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -129,8 +171,8 @@
 	id := r.Header.Get("X-Request-Id")
 	header.Set("X-Request-Id", id)
 	switch expected := r.Header.Get("X-Expect-Instance"); {
-	case expected != "" && expected != i.id:
-		header.Set("X-Instance-Id", i.id)
+	case expected != "" && expected != instanceID:
+		header.Set("X-Instance-Id", instanceID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case id == "":
@@ -145,13 +187,18 @@
 		return
 	}
 	defer i.running.Add(-1)
-	i.record(arrival{time.Now(), i.id, i.zone, id, r.URL.Path, r.Header.Get("X-Caller-Service")})
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
+	crashes := string(body) == bodyCrash
+	i.record(arrival{time.Now(), i.name, i.zone, id, r.URL.Path, crashes})
+	if crashes {
+		i.crash()
+		return
+	}
 	select {
 	case <-time.After(i.work):
 	case <-r.Context().Done():
 		return
 	}
 	header.Set("X-Server-Stamp", "stamp-"+id)
-	_, _ = io.WriteString(w, "answer of "+i.id+" to "+id+"\n")
+	_, _ = io.WriteString(w, "answer of "+instanceID+" to "+id+"\n")
 }
--- a/review/11/_harness/main.go
+++ b/review/11/_harness/main.go
@@ -24,6 +24,9 @@
 
 var scenarios = map[string]scenario{
 	"evacuation-after-restore": evacuationAfterRestore,
+	"crash-in-chunks":          crashInChunks,
+	"crash-with-length":        crashWithLength,
+	"crash-after-restarts":     crashAfterRestarts,
 }
 
 func main() { os.Exit(run()) }
--- a/review/11/_harness/record.go
+++ b/review/11/_harness/record.go
@@ -14,9 +14,13 @@
 	mu        sync.Mutex
 	out       io.Writer
 	arrivals  []arrival
+	// statuses are those of the answers that clients got, by the identifiers of the requests; zero is no answer.
+	statuses map[string]int
 }
 
-func newRecord(out io.Writer) *record { return &record{startedAt: time.Now(), out: out} }
+func newRecord(out io.Writer) *record {
+	return &record{startedAt: time.Now(), out: out, statuses: make(map[string]int)}
+}
 
 func (r *record) write(at time.Time, line string) {
 	r.mu.Lock()
@@ -32,13 +36,24 @@
 }
 
 func (r *record) ran(a arrival) {
-	r.write(a.At, fmt.Sprintf("run %s %s at %s in %s for %s", a.ID, a.Path, a.Instance, a.Zone, a.Caller))
+	end := ""
+	if a.Crashes {
+		end = ", which crashes"
+	}
+	r.write(a.At, fmt.Sprintf("run %s %s at %s in %s%s", a.ID, a.Path, a.Instance, a.Zone, end))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, a)
 }
 
-// matching returns the arrivals that match.
+// answered notes the status that a client got, zero without an answer.
+func (r *record) answered(id string, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statuses[id] = status
+}
+
+// matching returns the arrivals that match; the function may read the record.
 func (r *record) matching(matches func(a arrival) bool) []arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/11/_harness/restore.go
+++ b/review/11/_harness/restore.go
@@ -15,7 +15,7 @@
 // evacuationAfterRestore plays a drill: the store goes away and comes back from a copy that is some seconds old. The
 // operator writes the newest desired state again and, once all is calm, evacuates a zone.
 func evacuationAfterRestore(c *cluster, trouble bool) (string, error) {
-	stop := c.clients()
+	stop := c.clients(false)
 	defer stop()
 	time.Sleep(2 * time.Second)
 	copied := c.store.copyState()
