--- a/review/11/_harness/cluster.go
+++ b/review/11/_harness/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -74,7 +73,7 @@
 	for deadline := time.Now().Add(readyTime); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
 		ready := 0
 		for _, n := range c.nodes {
-			if get("http://"+n.addresses.ready+"/api/readiness") == http.StatusOK && c.call(n, "warm-up") == http.StatusOK {
+			if get("http://"+n.addresses.ready+wire.ReadinessPath) == http.StatusOK && c.call(n, "warm-up") == http.StatusOK {
 				ready++
 			}
 		}
@@ -101,28 +100,16 @@
 
 // putConfig writes a desired state with one route, as the operator does, and returns the store's version of it.
 func (c *cluster) putConfig(version int, timeoutS float64) uint64 {
-	value, _ := json.Marshal(map[string]any{
-		"Version": fmt.Sprintf("%08x", version),
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
-		"Listeners": []any{map[string]any{"Host": host, "Rules": []any{
-			rule("r-shop", "safe", "/shop/", timeoutS), rule("r-pay", "unsafe", "/pay/", timeoutS),
-		}}},
-		"Clusters": []any{map[string]any{
-			"Name": service, "HealthCheckPath": "/health", "MaxConnections": 260, "Protocol": "h1", "Tls": false, "ColdStartS": 3.0, "ColdPerS": 37.0,
-		}},
-	})
+	value := fill(stateTemplate, struct {
+		Version       int
+		Host, Service string
+		Timeout       float64
+	}{version, host, service, timeoutS})
 	at := c.store.put("op", "config", value)
 	c.record.note("operator: the store acknowledges desired state %08x with version %d", version, at)
 	return at
 }
 
-func rule(name, kind, prefix string, timeoutS float64) map[string]any {
-	return map[string]any{
-		"Name": name, "Kind": kind, "TargetLatencyS": 0.3, "Priority": 2, "Match": map[string]any{"Prefix": prefix},
-		"Action": map[string]any{"Service": service, "TimeoutS": timeoutS, "MaxAttempts": 2, "AllowedRegions": []string{}},
-	}
-}
-
 func get(url string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -161,8 +148,8 @@
 		return 0
 	}
 	request.Host = host
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Milliseconds", "2000")
+	request.Header.Set(wire.RequestID, id)
+	request.Header.Set(wire.Deadline, "2000")
 	sentAt := time.Now()
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
--- a/review/11/_harness/instance.go
+++ b/review/11/_harness/instance.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,8 +43,10 @@
 	leaving  bool
 	closed   bool
 	lifetime int
-	server   *http.Server
-	stop     context.CancelFunc
+	// capture is the text of the records at pathCaptures.
+	capture string
+	server  *http.Server
+	stop    context.CancelFunc
 }
 
 // bodyCrash is the body of a request that crashes each instance that begins to run it, and crashTime how long the
@@ -119,15 +121,15 @@
 
 // announce makes one liveness report, and reports whether it was acknowledged.
 func (i *instance) announce(state string) bool {
-	body, _ := json.Marshal(map[string]any{
-		"Address":     i.address,
-		"born":        i.born,
-		"Information": map[string]any{"Service": i.service, "Version": "v1", "Zone": i.zone, "Slots": slots},
-		"Status":      map[string]any{"State": state, "Sequence": i.sequence.Add(1), "ColdRemainingS": 0},
-	})
+	body := fill(reportTemplate, struct {
+		Address, Service, Zone, State string
+		Born                          int64
+		Slots                         int
+		Sequence                      uint64
+	}{i.address, i.service, i.zone, state, i.born, slots, i.sequence.Add(1)})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.announceTo+"/api/instances/"+i.id(), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.announceTo+wire.InstancesPath+i.id(), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -141,6 +143,18 @@
 	return response.StatusCode/100 == 2
 }
 
+func (i *instance) setCapture(text string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.capture = text
+}
+
+func (i *instance) captured() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.capture
+}
+
 func (i *instance) setNotice(limit string, leaving bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -154,7 +168,7 @@
 	i.mu.Unlock()
 	instanceID := i.id()
 	header := w.Header()
-	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
+	header.Set(wire.InstanceLoad, fmt.Sprintf("%d,0,%d,100", i.running.Load(), slots))
 	if limit != "" {
 		header.Set("Server-Limit", limit)
 	}
@@ -162,27 +176,27 @@
 		header.Set("Server-Leaving", "1")
 	}
 	if r.URL.Path == "/health" {
-		header.Set("X-Instance-Id", instanceID)
+		header.Set(wire.InstanceID, instanceID)
 		if leaving {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
-	header.Set("X-Request-Id", id)
-	switch expected := r.Header.Get("X-Expect-Instance"); {
+	id := r.Header.Get(wire.RequestID)
+	header.Set(wire.RequestID, id)
+	switch expected := r.Header.Get(wire.ExpectInstance); {
 	case expected != "" && expected != instanceID:
-		header.Set("X-Instance-Id", instanceID)
+		header.Set(wire.InstanceID, instanceID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case id == "":
-		header.Set("X-Not-Executed", "1")
+		header.Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if i.running.Add(1) > slots {
 		i.running.Add(-1)
-		header.Set("X-Not-Executed", "1")
+		header.Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -199,6 +213,12 @@
 	case <-r.Context().Done():
 		return
 	}
-	header.Set("X-Server-Stamp", "stamp-"+id)
+	header.Set(wire.ServerStamp, "stamp-"+id)
+	if r.URL.Path == pathCaptures {
+		body := captures(i.captured())
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+		return
+	}
 	_, _ = io.WriteString(w, "answer of "+instanceID+" to "+id+"\n")
 }
--- a/review/11/_harness/main.go
+++ b/review/11/_harness/main.go
@@ -24,6 +24,7 @@
 
 var scenarios = map[string]scenario{
 	"evacuation-after-restore": evacuationAfterRestore,
+	"body-of-captures":         bodyOfCaptures,
 	"crash-in-chunks":          crashInChunks,
 	"crash-with-length":        crashWithLength,
 	"crash-after-restarts":     crashAfterRestarts,
--- a/review/11/_harness/store.go
+++ b/review/11/_harness/store.go
@@ -12,14 +12,37 @@
 	"time"
 )
 
-// row is a row of the store in the form of the wire.
+// row is a row of the store.
 type row struct {
-	Table         string
-	Part          string `json:"part"`
-	Key           string
-	Value         []byte `json:",omitempty"`
-	VersionNumber uint64
-	Deleted       bool `json:",omitempty"`
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte
+	Deleted bool
+	version uint64
+}
+
+// MarshalJSON returns the form of the wire.
+func (r row) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"Table": r.Table, "part": r.Part, "Key": r.Key, "Value": r.Value, "Deleted": r.Deleted, wire.RowVersion: r.version,
+	})
+}
+
+// UnmarshalJSON reads the form of the wire.
+func (r *row) UnmarshalJSON(text []byte) error {
+	type plain row
+	if err := json.Unmarshal(text, (*plain)(r)); err != nil {
+		return err
+	}
+	var others map[string]json.RawMessage
+	if err := json.Unmarshal(text, &others); err != nil {
+		return err
+	}
+	if version, found := others[wire.RowVersion]; found {
+		return json.Unmarshal(version, &r.version)
+	}
+	return nil
 }
 
 // state is what a copy of the store holds.
@@ -57,9 +80,9 @@
 		state: state{version: 100, rows: make(map[string]row)}, conns: make(map[net.Conn]bool),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/rows-tx", s.commit)
-	mux.HandleFunc("GET /api/rows-get", s.get)
-	mux.HandleFunc("GET /api/rows-feed", s.feed)
+	mux.HandleFunc("POST "+wire.TransactionPath, s.commit)
+	mux.HandleFunc("GET "+wire.ReadPath, s.get)
+	mux.HandleFunc("GET "+wire.FeedPath, s.feed)
 	s.server = &http.Server{Handler: s.withEra(mux), ConnState: s.track}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -90,7 +113,7 @@
 		if away {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("Store-Era", strconv.Itoa(era))
+		w.Header().Set(wire.StoreEra, strconv.Itoa(era))
 		w.Header().Set("Content-Type", "application/json")
 		next.ServeHTTP(w, r)
 	})
@@ -145,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.version++
-	s.apply(row{Table: table, Key: key, Value: value, VersionNumber: s.state.version})
+	s.apply(row{Table: table, Key: key, Value: value, version: s.state.version})
 	s.signal()
 	return s.state.version
 }
@@ -155,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.version++
-	s.apply(row{Table: table, Key: key, VersionNumber: s.state.version, Deleted: true})
+	s.apply(row{Table: table, Key: key, version: s.state.version, Deleted: true})
 	s.signal()
 	return s.state.version
 }
@@ -192,7 +215,7 @@
 	}
 	var conflicts []row
 	for _, c := range t.ExpectedRevision {
-		if current := s.state.rows[rowID(c.Table, c.Part, c.Key)]; current.VersionNumber != c.VersionNumber {
+		if current := s.state.rows[rowID(c.Table, c.Part, c.Key)]; current.version != c.version {
 			conflicts = append(conflicts, current)
 		}
 	}
@@ -203,11 +226,11 @@
 	}
 	s.state.version++
 	for _, p := range t.Puts {
-		p.VersionNumber = s.state.version
+		p.version = s.state.version
 		s.apply(p)
 	}
 	for _, p := range t.Remove {
-		p.VersionNumber, p.Deleted = s.state.version, true
+		p.version, p.Deleted = s.state.version, true
 		s.apply(p)
 	}
 	s.signal()
@@ -219,12 +242,9 @@
 	if rows == nil {
 		rows = []row{}
 	}
-	_ = json.NewEncoder(w).Encode(struct {
-		Rows          []row
-		HasMore       bool
-		VersionNumber uint64
-		NowS          float64
-	}{rows, more, s.state.version, time.Since(s.startedAt).Seconds()})
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"Rows": rows, "HasMore": more, wire.RowVersion: s.state.version, "NowS": time.Since(s.startedAt).Seconds(),
+	})
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
@@ -268,7 +288,7 @@
 		}
 		var rows []row
 		for _, change := range s.state.history {
-			if change.Table == q.Get("Table") && change.VersionNumber > after {
+			if change.Table == q.Get("Table") && change.version > after {
 				rows = append(rows, change)
 			}
 		}
