--- a/review/11/_harness/main.go
+++ b/review/11/_harness/main.go
@@ -23,11 +23,12 @@
 type scenario func(c *cluster, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"evacuation-after-restore": evacuationAfterRestore,
-	"body-of-captures":         bodyOfCaptures,
-	"crash-in-chunks":          crashInChunks,
-	"crash-with-length":        crashWithLength,
-	"crash-after-restarts":     crashAfterRestarts,
+	"evacuation-after-restore":         evacuationAfterRestore,
+	"evacuation-skipped-after-restore": evacuationSkippedAfterRestore,
+	"body-of-captures":                 bodyOfCaptures,
+	"crash-in-chunks":                  crashInChunks,
+	"crash-with-length":                crashWithLength,
+	"crash-after-restarts":             crashAfterRestarts,
 }
 
 func main() { os.Exit(run()) }
