Changes after a restore of the store are in force

Cause: the version of the store ordered all that nodes have in force. After a restore the store gives out versions again, so that each change counted as old: in Source (max), in the controller (only a higher revision) and between nodes.

Change: a revision has the epoch of the store (header of its answers) above the version. Nodes reconcile what they have in force with what they get, in place of replacing it: of documents the operators' number decides, of zones the latest change of each. Heartbeats carry a digest of these, so that nodes with the same revision that know different changes tell each other.

Why it works: an epoch is never given out twice, and the result of reconciling does not depend on the order (TestNodesReconcileInAnyOrder), so that nodes of both epochs agree whoever speaks first.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -93,11 +93,14 @@
 func usePlatformContract(options *runner.Options) {
 	settings := options.Settings
 	client := newTableClient()
+	// Rows and source share a table, so that both know the latest epoch of the store.
+	var table *platform.Table
 	options.Table = func(count func(call, result string)) eelgrasspoint.Table {
-		return platform.NewTable(settings.Platform, client, count)
+		table = platform.NewTable(settings.Platform, client, count)
+		return table
 	}
-	options.Source = func(count func(call, result string), wait func() time.Duration) eelgrasspoint.Source {
-		return platform.NewSource(platform.NewTable(settings.Platform, client, count), settings.AvailabilityZones, wait)
+	options.Source = func(wait func() time.Duration) eelgrasspoint.Source {
+		return platform.NewSource(table, settings.AvailabilityZones, wait)
 	}
 	options.Contract = platform.Contract{}
 	options.TellsLoad = true
--- a/configuration.go
+++ b/configuration.go
@@ -17,6 +17,8 @@
 	Name         string
 	Region       string
 	OutOfService bool
+	// ChangedAt is the revision of the latest change of OutOfService, or zero if none is known.
+	ChangedAt uint64
 }
 
 // Service describes a group of interchangeable backend servers. Only Name is required.
@@ -150,7 +152,9 @@
 
 // Configuration is an immutable document with its revision.
 type Configuration struct {
-	Revision   uint64
+	Revision uint64
+	// Version is the number that the operators gave the document, or zero if it is unknown.
+	Version    uint64
 	Document   Document
 	Provenance Provenance
 }
@@ -160,8 +164,6 @@
 	Origin Origin
 	// Node is the name of the node that sent the configuration, for OtherNode.
 	Node string
-	// Version is the number that the operators gave the document, or zero if it is unknown.
-	Version uint64
 	// Took is how long the call lasted, with the wait for a change.
 	Took time.Duration
 }
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -7,14 +7,21 @@
 	"eelgrasspoint/coordination/router"
 )
 
-// ReplaceConfiguration puts a whole configuration in force if its revision is higher than the one in force, or if it
-// is the same one and this node reads more of it than the node that sent it.
+// ReplaceConfiguration reconciles a configuration with the one in force, and puts the result in force if it says more. A
+// configuration that this node reads more of than the node that sent the one in force replaces it as well.
 type ReplaceConfiguration struct{ Configuration eelgrasspoint.Configuration }
 
 func (r ReplaceConfiguration) apply(c *Controller) {
-	if r.Configuration.Revision > c.configuration.Revision || r.readsMore(c.configuration) {
-		c.setConfiguration(r.Configuration)
+	known := c.configuration
+	rereads := r.readsMore(known)
+	if rereads {
+		known = r.withZonesOf(known)
 	}
+	reconciled := known.Reconcile(&r.Configuration)
+	if !rereads && reconciled.Revision == known.Revision && reconciled.StateDigest() == known.StateDigest() {
+		return
+	}
+	c.setConfiguration(*reconciled, r.Configuration.Provenance)
 }
 
 // readsMore reports whether this node itself read the revision in force from the table service, but has it from
@@ -24,14 +31,25 @@
 	if origin != eelgrasspoint.StoreFeed && origin != eelgrasspoint.StoreScan {
 		return false
 	}
-	return r.Configuration.Revision > 0 && r.Configuration.Revision == inForce.Revision &&
-		inForce.Provenance.Origin == eelgrasspoint.OtherNode && r.Configuration.Document.Digest() != inForce.Document.Digest()
+	if r.Configuration.Revision == 0 || r.Configuration.Revision != inForce.Revision || r.Configuration.Version < inForce.Version {
+		return false
+	}
+	reread := r.withZonesOf(inForce)
+	return inForce.Provenance.Origin == eelgrasspoint.OtherNode && reread.Document.Digest() != inForce.Document.Digest()
+}
+
+// withZonesOf returns the configuration with the availability zones of another one.
+func (r ReplaceConfiguration) withZonesOf(other *eelgrasspoint.Configuration) *eelgrasspoint.Configuration {
+	changed := r.Configuration
+	changed.Document.AvailabilityZones = other.Document.AvailabilityZones
+	return &changed
 }
 
 // setConfiguration puts a configuration in force. The caller ensures that its revision is not below the one in
-// force.
-func (c *Controller) setConfiguration(configuration eelgrasspoint.Configuration) {
+// force. provenance is that of what changed.
+func (c *Controller) setConfiguration(configuration eelgrasspoint.Configuration, provenance eelgrasspoint.Provenance) {
 	previous := c.zonesOutOfService()
+	configuration.Provenance = provenance
 	c.configuration = &configuration
 	c.router = router.New(&c.configuration.Document)
 	c.recordRevision()
@@ -53,11 +71,14 @@
 	if provenance.Node != "" {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "From", Value: provenance.Node})
 	}
-	if provenance.Version != 0 {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: provenance.Version})
+	if epoch := eelgrasspoint.Epoch(c.configuration.Revision); epoch != 0 {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "Epoch", Value: epoch})
+	}
+	if c.configuration.Version != 0 {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: c.configuration.Version})
 	}
 	c.options.Recorder.Record(eelgrasspoint.Event{
-		Number: eelgrasspoint.EventRevisionInForce, Detail: fmt.Sprintf("revision %d", c.configuration.Revision), Inputs: inputs,
+		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + eelgrasspoint.FormatRevision(c.configuration.Revision), Inputs: inputs,
 	})
 }
 
--- a/coordination/controller/snapshot.go
+++ b/coordination/controller/snapshot.go
@@ -12,12 +12,13 @@
 func (c *Controller) publish() {
 	members := c.sortedMembers()
 	view := &eelgrasspoint.MembershipView{
-		Self:     c.self,
-		Members:  members,
-		News:     c.pendingUpdates(),
-		Digest:   assigner.Digest(members),
-		Revision: c.configuration.Revision,
-		Observed: c.heartbeatTargets(members),
+		Self:        c.self,
+		Members:     members,
+		News:        c.pendingUpdates(),
+		Digest:      assigner.Digest(members),
+		Revision:    c.configuration.Revision,
+		StateDigest: c.configuration.StateDigest(),
+		Observed:    c.heartbeatTargets(members),
 	}
 	c.view.Store(view)
 	c.options.Holder.Publish(&eelgrasspoint.Snapshot{
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -63,17 +63,18 @@
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
 	e.mergeMembers(request)
 	view := e.options.Controller.View()
-	if request.GetRevision() > view.Revision {
+	if request.GetRevision() > view.Revision || e.options.Controller.Configuration().DiffersFrom(request.GetStateDigest()) {
 		e.pullFrom(view, request)
 	}
 	updates := e.updatesFor(view, request)
 	return &schema.ConverseResponse{
-		From:     view.Self.Name,
-		Revision: view.Revision,
-		Digest:   view.Digest,
-		News:     translator.MemberMessages(updates),
-		Load:     translator.LoadMessage(e.options.Load()),
-		Wall:     uint64(e.options.Now().UnixNano()),
+		From:        view.Self.Name,
+		Revision:    view.Revision,
+		StateDigest: view.StateDigest,
+		Digest:      view.Digest,
+		News:        translator.MemberMessages(updates),
+		Load:        translator.LoadMessage(e.options.Load()),
+		Wall:        uint64(e.options.Now().UnixNano()),
 	}, nil
 }
 
@@ -112,11 +113,11 @@
 	}
 }
 
-// Configuration returns the configuration in force if its revision is higher than AfterRevision,
-// and an empty response otherwise.
+// Configuration returns the configuration in force if its revision is higher than AfterRevision or its state another
+// one than the caller's, and an empty response otherwise.
 func (e *Exchanger) Configuration(_ context.Context, request *schema.ConfigurationRequest) (*schema.GetResponse, error) {
 	configuration := e.options.Controller.Configuration()
-	if request.GetAfterRevision() >= configuration.Revision {
+	if request.GetAfterRevision() >= configuration.Revision && !configuration.DiffersFrom(request.GetStateDigest()) {
 		return &schema.GetResponse{}, nil
 	}
 	return translator.ConfigurationMessage(configuration), nil
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -48,7 +48,8 @@
 // New returns a fetcher.
 func New(options Options) *Fetcher { return &Fetcher{options: options} }
 
-// Fetch fetches the configuration of a member, unless a revision higher than after is in force. It waits until
+// Fetch fetches the configuration of a member if its revision is higher than after or its state differs, unless a revision
+// higher than after is in force. It waits until
 // the configuration is in force, the fetch fails, or ctx ends. The fetch goes on when ctx ends, because
 // later requests need the configuration, too.
 func (f *Fetcher) Fetch(ctx context.Context, m eelgrasspoint.Member, after uint64) {
@@ -114,7 +115,9 @@
 	defer cancel()
 	f.options.Meter.CountExchange("Configuration")
 	client := schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), f.options.Client)
-	response, err := client.Configuration(ctx, &schema.ConfigurationRequest{AfterRevision: after})
+	response, err := client.Configuration(ctx, &schema.ConfigurationRequest{
+		AfterRevision: after, StateDigest: f.options.Controller.Configuration().StateDigest(),
+	})
 	if err != nil {
 		f.recordFailure(m, after, err)
 		return
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -70,8 +70,8 @@
 	// node, so messages to it carry that entry.
 	lagging  bool
 	syncedAt time.Time
-	// revision is that of the member's configuration when it last answered.
-	revision uint64
+	// revision and stateDigest are those of the member's configuration when it last answered.
+	revision, stateDigest uint64
 }
 
 // flushDelay is how long flushAfterDelay waits for further updates.
@@ -114,7 +114,7 @@
 
 // hasNews reports whether the member lacks an update or the configuration in force, as far as this node knows.
 func (o *Observer) hasNews(view *eelgrasspoint.MembershipView, m eelgrasspoint.Member) bool {
-	return o.revisionOf(m.Name) < view.Revision || len(o.options.Tracker.Missing(m.Name, view.News, o.options.Clock())) > 0
+	return o.lacksConfiguration(view, m.Name) || len(o.options.Tracker.Missing(m.Name, view.News, o.options.Clock())) > 0
 }
 
 // flushAfterDelay waits for further updates, then calls Flush.
@@ -170,13 +170,13 @@
 		return err
 	}
 	o.options.Tracker.Acknowledge(m.Name, updates)
-	o.setRevision(m.Name, response.GetRevision())
+	o.setRevision(m.Name, response.GetRevision(), response.GetStateDigest())
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
 	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
 		o.options.Tracker.Acknowledge(m.Name, members)
 		o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	}
-	if response.GetRevision() > view.Revision {
+	if response.GetRevision() > view.Revision || differ(response.GetStateDigest(), view.StateDigest) {
 		o.options.Fetch(ctx, m, view.Revision)
 	}
 	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
@@ -200,12 +200,13 @@
 
 func (o *Observer) request(view *eelgrasspoint.MembershipView, updates []eelgrasspoint.Member) *schema.ConverseRequest {
 	return &schema.ConverseRequest{
-		Cluster:  o.options.Cluster,
-		From:     view.Self.Name,
-		Revision: view.Revision,
-		Digest:   view.Digest,
-		News:     translator.MemberMessages(updates),
-		Wall:     uint64(o.options.Now().UnixNano()),
+		Cluster:     o.options.Cluster,
+		From:        view.Self.Name,
+		Revision:    view.Revision,
+		StateDigest: view.StateDigest,
+		Digest:      view.Digest,
+		News:        translator.MemberMessages(updates),
+		Wall:        uint64(o.options.Now().UnixNano()),
 	}
 }
 
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -1,6 +1,10 @@
 package observer
 
-import "time"
+import (
+	"time"
+
+	"eelgrasspoint"
+)
 
 // The methods in this file access the state of the peers under the lock mu.
 
@@ -68,15 +72,21 @@
 	return o.peerState(name).lagging
 }
 
-// revisionOf returns the revision that the member had when it last answered, or zero.
-func (o *Observer) revisionOf(name string) uint64 {
+// lacksConfiguration reports whether the member had an older or another configuration when it last answered, or has not
+// answered yet.
+func (o *Observer) lacksConfiguration(view *eelgrasspoint.MembershipView, name string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.peerState(name).revision
+	p := o.peerState(name)
+	return p.revision < view.Revision || differ(p.stateDigest, view.StateDigest)
 }
 
-func (o *Observer) setRevision(name string, revision uint64) {
+// differ reports whether the digest of a member's configuration is another one than the own digest. Zero differs from none.
+func differ(digest, own uint64) bool { return digest != 0 && digest != own }
+
+func (o *Observer) setRevision(name string, revision, stateDigest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.peerState(name).revision = revision
+	p := o.peerState(name)
+	p.revision, p.stateDigest = revision, stateDigest
 }
--- a/coordination/replicator/replicator.go
+++ b/coordination/replicator/replicator.go
@@ -194,6 +194,14 @@
 	})
 }
 
+// RewriteRows writes the rows of the departures since a time again.
+func (r *Replicator) RewriteRows(since time.Time) {
+	r.mu.Lock()
+	r.stored = slices.DeleteFunc(r.stored, func(d eelgrasspoint.Departure) bool { return d.At.After(since) })
+	r.mu.Unlock()
+	r.requestRewrite()
+}
+
 // addStored notes departures that have a row.
 func (r *Replicator) addStored(departures []eelgrasspoint.Departure) {
 	r.mu.Lock()
--- a/coordination/replicator/replicator_test.go
+++ b/coordination/replicator/replicator_test.go
@@ -101,6 +101,25 @@
 	})
 }
 
+// TestRowsAreWrittenAgain guards against a departure that is forgotten, since the table service has come back from a copy
+// without its row.
+func TestRowsAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &table{Storer: storer.New()}
+		p := start(t, rows, 0)
+		p.leave("a", 5)
+		assert.NilError(t, p.Replicate(t.Context()))
+		stored, err := rows.Scan(t.Context(), "")
+		assert.NilError(t, err)
+		assert.NilError(t, rows.Storer.Commit(t.Context(), eelgrasspoint.DeletionOf(stored[0])))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(start(t, rows, 0).departed()), 0)
+		p.RewriteRows(time.Now().Add(-time.Minute))
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, start(t, rows, 0).departed(), []string{"a"})
+	})
+}
+
 // TestReplicateAnswersWithinASecond guards against an acknowledgement that is too late, and against one without a copy.
 func TestReplicateAnswersWithinASecond(t *testing.T) {
 	cases := []struct {
--- a/errors.go
+++ b/errors.go
@@ -193,6 +193,30 @@
 // Error implements error.
 func (e *UnreadError) Error() string { return joinMistakes(e.Mistakes) }
 
+// StaleEpochError is returned for an answer of the table service of an epoch before the latest one, such as one that an old
+// connection delivers late.
+type StaleEpochError struct{ Epoch, Latest uint64 }
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("the answer is of epoch %d, before epoch %d, and is ignored", e.Epoch, e.Latest)
+}
+
+// EpochUnreadableError is returned beside a configuration if the epoch of the table service was missing or can't be read. The
+// configuration counts as one of the latest epoch.
+type EpochUnreadableError struct{ Reason string }
+
+// Error implements error.
+func (e *EpochUnreadableError) Error() string { return e.Reason }
+
+// VersionTooHighError is returned for a version of the table service that a revision can't hold.
+type VersionTooHighError struct{ Version uint64 }
+
+// Error implements error.
+func (e *VersionTooHighError) Error() string {
+	return fmt.Sprintf("version %d is above %d, the highest one", e.Version, uint64(MaxRowVersion))
+}
+
 // joinMistakes returns the mistakes as text, one a line.
 func joinMistakes(mistakes []Mistake) string {
 	lines := make([]string, len(mistakes))
--- a/event.go
+++ b/event.go
@@ -61,6 +61,8 @@
 	EventDepartureNotReplicated
 	EventDeparturesRestored
 	EventAnnouncementHeld
+	EventStoreRestored
+	EventEpochUnreadable
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/protocol/translator/roundtrip_test.go
+++ b/protocol/translator/roundtrip_test.go
@@ -47,7 +47,7 @@
 		v.SetString("x")
 	case reflect.Bool:
 		v.SetBool(true)
-	case reflect.Uint32:
+	case reflect.Uint32, reflect.Uint64:
 		v.SetUint(3)
 	case reflect.Int64:
 		v.SetInt(1_234_567_891)
--- /dev/null
+++ b/reconciliation.go
@@ -0,0 +1,85 @@
+package eelgrasspoint
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Reconcile returns what two configurations say together, in any order of the two: the document that the operators gave the
+// higher number, and of each availability zone the latest change. Nodes that know different epochs of the table service
+// agree in this way: neither has to know all of what the other does. If the number of one of them is unknown, the
+// configuration with the higher revision is returned; of two with the same revision, that with a number, or else c.
+func (c *Configuration) Reconcile(other *Configuration) *Configuration {
+	if c.Version == 0 || other.Version == 0 {
+		if cmp.Or(cmp.Compare(other.Revision, c.Revision), cmp.Compare(other.Version, c.Version)) > 0 {
+			return other
+		}
+		return c
+	}
+	newer, older := c, other
+	if cmp.Or(cmp.Compare(other.Version, c.Version), cmp.Compare(other.Revision, c.Revision)) > 0 {
+		newer, older = other, c
+	}
+	reconciled := *newer
+	reconciled.Revision = max(c.Revision, other.Revision)
+	reconciled.Document.AvailabilityZones = latestZones(newer.Document.AvailabilityZones, older.Document.AvailabilityZones)
+	return &reconciled
+}
+
+// latestZones returns the zones of both lists, sorted by name, each as its latest change left it.
+func latestZones(zones, others []AvailabilityZone) []AvailabilityZone {
+	latest := slices.Clone(zones)
+	for _, other := range others {
+		i := slices.IndexFunc(latest, func(z AvailabilityZone) bool { return z.Name == other.Name })
+		switch {
+		case i < 0:
+			latest = append(latest, other)
+		case other.supersedes(latest[i]):
+			latest[i].OutOfService, latest[i].ChangedAt = other.OutOfService, other.ChangedAt
+		}
+	}
+	slices.SortFunc(latest, func(a, b AvailabilityZone) int { return strings.Compare(a.Name, b.Name) })
+	return latest
+}
+
+// supersedes reports whether the zone has the later change. Of two at the same revision, that which takes the zone out of
+// service counts.
+func (z AvailabilityZone) supersedes(other AvailabilityZone) bool {
+	if z.ChangedAt != other.ChangedAt {
+		return z.ChangedAt > other.ChangedAt
+	}
+	return z.OutOfService && !other.OutOfService
+}
+
+// StateDigest returns a hash of the numbers that Reconcile compares, but for the revision. Two nodes with different ones
+// have something to tell each other, even if their revisions are equal. It is zero if the operators' number is unknown, and
+// does not depend on what a version of the program can read of a document.
+func (c *Configuration) StateDigest() uint64 {
+	if c.Version == 0 {
+		return 0
+	}
+	hash := xxhash.New()
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, c.Version))
+	for _, zone := range c.Document.AvailabilityZones {
+		if zone.ChangedAt == 0 {
+			continue
+		}
+		_, _ = hash.WriteString(zone.Name)
+		state := []byte{0}
+		if zone.OutOfService {
+			state[0] = 1
+		}
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(state, zone.ChangedAt))
+	}
+	return hash.Sum64()
+}
+
+// DiffersFrom reports whether a digest that another node sent is that of another state. Zero is that of a node that does not
+// know the operators' number, or sends no digest, and differs from none.
+func (c *Configuration) DiffersFrom(digest uint64) bool {
+	return digest != 0 && digest != c.StateDigest()
+}
--- /dev/null
+++ b/reconciliation_test.go
@@ -0,0 +1,68 @@
+package eelgrasspoint_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"eelgrasspoint"
+)
+
+// drawConfiguration draws what a node may know: a number of the operators, the changes of two zones, and a revision.
+func drawConfiguration(t *rapid.T, label string) *eelgrasspoint.Configuration {
+	version := rapid.Uint64Range(1, 3).Draw(t, label+" version")
+	c := &eelgrasspoint.Configuration{
+		Version:  version,
+		Revision: eelgrasspoint.NewRevision(rapid.Uint64Range(0, 2).Draw(t, label+" epoch"), rapid.Uint64Range(0, 9).Draw(t, label+" row")),
+	}
+	// Documents with the same number have the same content.
+	c.Document.Routes = []eelgrasspoint.Route{{Name: "r", PathPrefix: "/", Weight: uint32(version)}}
+	for _, name := range []string{"a-1", "b-1"} {
+		c.Document.AvailabilityZones = append(c.Document.AvailabilityZones, eelgrasspoint.AvailabilityZone{
+			Name: name, OutOfService: rapid.Bool().Draw(t, label+" out"),
+			ChangedAt: eelgrasspoint.NewRevision(rapid.Uint64Range(0, 2).Draw(t, label+" zone epoch"), rapid.Uint64Range(0, 3).Draw(t, label+" zone row")),
+		})
+	}
+	return c
+}
+
+// TestNodesReconcileInAnyOrder guards against nodes that never agree, since what they have in force depends on the order in
+// which they learned it.
+func TestNodesReconcileInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawConfiguration(t, "a"), drawConfiguration(t, "b"), drawConfiguration(t, "c")
+		assert.DeepEqual(t, a.Reconcile(a), a)
+		assert.DeepEqual(t, a.Reconcile(b), b.Reconcile(a))
+		assert.DeepEqual(t, a.Reconcile(b).Reconcile(c), a.Reconcile(b.Reconcile(c)))
+		assert.Assert(t, !a.Reconcile(b).DiffersFrom(b.Reconcile(a).StateDigest()))
+	})
+}
+
+// TestReconcileWithUnknownNumber guards against a configuration of the project's own operators' API, or of an earlier
+// version of the program, that is not put in force, or that replaces one that says more.
+func TestReconcileWithUnknownNumber(t *testing.T) {
+	plain := func(revision uint64) *eelgrasspoint.Configuration {
+		return &eelgrasspoint.Configuration{Revision: revision}
+	}
+	numbered := &eelgrasspoint.Configuration{Revision: 7, Version: 3}
+	cases := map[string]struct{ first, second, want *eelgrasspoint.Configuration }{
+		"higher revision":                {plain(7), plain(8), plain(8)},
+		"lower revision":                 {plain(7), plain(6), plain(7)},
+		"higher revision without number": {numbered, plain(8), plain(8)},
+		"same revision without number":   {numbered, plain(7), numbered},
+		"same revision with number":      {plain(7), numbered, numbered},
+		"none in force":                  {plain(0), numbered, numbered},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, c.first.Reconcile(c.second), c.want) })
+	}
+}
+
+// TestRevisionsOfALaterEpochAreHigher guards against an order of versions that the table service gives out again.
+func TestRevisionsOfALaterEpochAreHigher(t *testing.T) {
+	assert.Assert(t, eelgrasspoint.NewRevision(2, 5) > eelgrasspoint.NewRevision(1, eelgrasspoint.MaxRowVersion))
+	assert.Assert(t, eelgrasspoint.NewRevision(1, 0) > eelgrasspoint.NewRevision(0, eelgrasspoint.MaxRowVersion))
+	assert.Equal(t, eelgrasspoint.FormatRevision(7), "7")
+	assert.Equal(t, eelgrasspoint.FormatRevision(eelgrasspoint.NewRevision(2, 5)), "2199023255557 (epoch 2, version 5)")
+}
--- a/runner/build.go
+++ b/runner/build.go
@@ -86,7 +86,7 @@
 	r.staggerer = staggerer.New(eelgrasspoint.ChangesCallInterval, eelgrasspoint.MaxChangesWait)
 	r.source = &polledSource{publisher: rowPublisher, sleep: r.sleepJittered, clock: clock}
 	if r.options.Source != nil {
-		r.source = r.options.Source(r.meter.CountStoreCall, r.changesWait)
+		r.source = r.options.Source(r.changesWait)
 	}
 	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rowPublisher, Recorder: r.recorder})
 }
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -142,8 +142,10 @@
 	err = r.commitMemberRow(ctx, eelgrasspoint.Write{Key: r.memberRowKey(), Value: value})
 	if err != nil {
 		r.recordStoreDown(ctx, err)
+		return err
 	}
-	return err
+	r.memberRowAt.Store(r.options.Clock().UnixNano())
+	return nil
 }
 
 // commitMemberRow writes or deletes this node's row. It sets no condition, since no other node writes
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -70,6 +70,10 @@
 	servers         servers
 
 	storeIsDown atomic.Bool
+	// epoch is that of the configuration that was read last from the table service.
+	epoch atomic.Uint64
+	// memberRowAt is when the row of this node was written last, in nanoseconds since 1970.
+	memberRowAt atomic.Int64
 	abortOnce   sync.Once
 	aborted     chan struct{}
 	stopping    atomic.Bool
@@ -95,10 +99,10 @@
 	// Chooser and Limiter are optional; the defaults are chooser.New and limiter.New.
 	Chooser eelgrasspoint.Chooser
 	Limiter eelgrasspoint.Limiter
-	// Source returns the source of the published configuration; count is as for Table, and wait returns how long
+	// Source returns the source of the published configuration; it is called after Table. wait returns how long
 	// the source may wait for the next change in one call. If nil, the configuration is a row of the table, which
 	// operators change through the API.
-	Source func(count func(call, result string), wait func() time.Duration) eelgrasspoint.Source
+	Source func(wait func() time.Duration) eelgrasspoint.Source
 	// Contract reads and writes the headers of callers and backend servers; the default is parser.New.
 	Contract eelgrasspoint.Contract
 	// TellsLoad is set if backend servers report their load in the headers of their answers.
--- a/runner/source.go
+++ b/runner/source.go
@@ -58,21 +58,13 @@
 	return r.staggerer.Wait(r.options.Clock(), rank, nodes)
 }
 
-// followConfiguration waits for published configurations until ctx ends, and puts each one with a
-// higher revision in force.
+// followConfiguration waits for published configurations until ctx ends, and submits each one to the controller, which
+// reconciles it with the one in force.
 func (r *Runner) followConfiguration(ctx context.Context) {
 	backoff := minSourceBackoff
 	for ctx.Err() == nil {
 		configuration, err := r.source.Next(ctx)
-		var invalid *eelgrasspoint.InvalidError
-		var unread *eelgrasspoint.UnreadError
-		switch {
-		case errors.As(err, &unread):
-			r.record(eelgrasspoint.EventDefinitionUnread, unread.Error())
-		case errors.As(err, &invalid):
-			r.record(eelgrasspoint.EventBadInput, "invalid configuration: "+invalid.Error())
-			// No continue: the configuration returned with the error may contain changes of other rows.
-		case err != nil:
+		if err != nil && !r.recordUsable(err) {
 			r.recordStoreDown(ctx, err)
 			r.sleepJittered(ctx, backoff)
 			backoff = min(2*backoff, maxSourceBackoff)
@@ -80,13 +72,37 @@
 		}
 		backoff = minSourceBackoff
 		r.recordStoreBack()
-		if configuration.Revision > 0 && configuration.Revision >= r.revision() {
+		if configuration.Revision > 0 {
 			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
 			r.controller.WaitApplied()
 		}
+		r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
 	}
 }
 
+// recordUsable records what an error says of the configuration that was returned with it. It reports false for an error
+// without a configuration.
+func (r *Runner) recordUsable(err error) bool {
+	var invalid *eelgrasspoint.InvalidError
+	var unread *eelgrasspoint.UnreadError
+	var unreadableEpoch *eelgrasspoint.EpochUnreadableError
+	usable := false
+	if errors.As(err, &unread) {
+		r.record(eelgrasspoint.EventDefinitionUnread, unread.Error())
+		usable = true
+	}
+	if errors.As(err, &invalid) {
+		// The configuration may contain changes of other rows.
+		r.record(eelgrasspoint.EventBadInput, "invalid configuration: "+invalid.Error())
+		usable = true
+	}
+	if errors.As(err, &unreadableEpoch) {
+		r.record(eelgrasspoint.EventEpochUnreadable, unreadableEpoch.Error())
+		usable = true
+	}
+	return usable
+}
+
 // maxConnections returns the number of connections that a backend server of the service accepts.
 func (r *Runner) maxConnections(service string) uint32 {
 	if connections := r.serviceConfiguration(service).Connections; connections > 0 {
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -28,6 +28,7 @@
 	cutShort              *prometheus.CounterVec
 	panics                *prometheus.CounterVec
 	restricted            *prometheus.CounterVec
+	restores              prometheus.Counter
 }
 
 // Source provides the values that are read at each scrape.
@@ -76,7 +77,10 @@
 	m.cutShort = newCounterVec("answers_cut_short_total", "Answers of which the caller got only a part, by service and the side whose connection failed: server or caller.", "service", "side")
 	m.panics = newCounterVec("handler_panics_total", "Panics in the handlers of requests, by server.", "server")
 	m.restricted = newCounterVec("requests_restricted_total", "Requests that the node refused because they, or all together, would use too much memory, by server.", "server")
-	m.registry.MustRegister(m.cutShort, m.panics, m.restricted, m.healthChecks, m.arrivals, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
+	m.restores = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "store_restores_total", Help: "Times that the node found the table service to have come back from a copy.",
+	})
+	m.registry.MustRegister(m.restores, m.cutShort, m.panics, m.restricted, m.healthChecks, m.arrivals, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerSourceMetrics(source)
 	return m
@@ -108,6 +112,9 @@
 // CountPanic counts a panic in a handler of the server.
 func (m *Meter) CountPanic(server string) { m.panics.WithLabelValues(server).Inc() }
 
+// CountRestore counts that the table service has come back from a copy.
+func (m *Meter) CountRestore() { m.restores.Inc() }
+
 // CountRestricted counts a request that a server refused for the memory that it would use.
 func (m *Meter) CountRestricted(server string) { m.restricted.WithLabelValues(server).Inc() }
 
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -180,7 +180,8 @@
 		eelgrasspoint.EventChangeUnknown, eelgrasspoint.EventRequestQuarantined, eelgrasspoint.EventIsolationSuspected,
 		eelgrasspoint.EventRequestFailed, eelgrasspoint.EventBadInput, eelgrasspoint.EventPeerSilent,
 		eelgrasspoint.EventAnswerCutShort, eelgrasspoint.EventHandlerPanicked, eelgrasspoint.EventServerError,
-		eelgrasspoint.EventDefinitionUnread, eelgrasspoint.EventBackendHangs, eelgrasspoint.EventDepartureNotReplicated:
+		eelgrasspoint.EventDefinitionUnread, eelgrasspoint.EventBackendHangs, eelgrasspoint.EventDepartureNotReplicated,
+		eelgrasspoint.EventStoreRestored, eelgrasspoint.EventEpochUnreadable:
 		return logrus.WarnLevel
 	default:
 		return logrus.InfoLevel
--- a/view.go
+++ b/view.go
@@ -10,6 +10,8 @@
 	Digest uint64
 	// Revision is that of the configuration in force.
 	Revision uint64
+	// StateDigest is that of the configuration in force.
+	StateDigest uint64
 	// Observed are the members that receive the node's heartbeats.
 	Observed []Member
 }
