The fingerprint of a request covers its whole body

Cause: the fingerprint covered the buffered part of the body only; bodies in chunks or above 64 KiB are not buffered. A success of another request with the same fingerprint cleared the suspicion; without one, all of them were quarantined.

Change: the exit node completes the fingerprint of a body that the entry node has not read. After a crash, bodies of requests with the same head are read before they run, up to 1 MiB each and 8 MiB in all; of longer ones the last part is held back until the fingerprint is known.

Why it works: two different bodies no longer share a fingerprint, and one body has the same fingerprint in any framing, so that a success of one says nothing of the other, and the second crash names the request.

--- a/constants.go
+++ b/constants.go
@@ -24,7 +24,9 @@
 	HeaderRoute       = "Eelgrass-Route"
 	HeaderPermitted   = "Eelgrass-Permitted"
 	HeaderFingerprint = "Eelgrass-Fingerprint"
-	HeaderAttempt     = "Eelgrass-Attempt"
+	// HeaderBodyOpen is set if RequestMetadata.BodyOpen is.
+	HeaderBodyOpen = "Eelgrass-Body-Open"
+	HeaderAttempt  = "Eelgrass-Attempt"
 	// HeaderEntryRegion is the region of the entry node.
 	HeaderEntryRegion = "Eelgrass-From"
 	HeaderInsists     = "Eelgrass-Insists"
@@ -184,6 +186,10 @@
 	// MaxQuarantineRecords bounds the suspect and quarantined requests, and each of two generations of
 	// requests that succeeded.
 	MaxQuarantineRecords = 4096
+	// MaxHeldBodyBytes bounds a body that is read whole before its request runs, since a request with the same head was in
+	// flight at a crash. MaxHeldTotalBytes bounds those of all requests of the process.
+	MaxHeldBodyBytes  = 1 << 20
+	MaxHeldTotalBytes = 8 << 20
 	// CrashConfirmTimeout is how long a suspected crash waits for confirmation after a lost connection.
 	// Then it is dropped, since connections also break without a crash.
 	CrashConfirmTimeout = 2 * time.Second
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -43,9 +43,9 @@
 	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
 	Settled func() bool
 	// Crashed handles a crash report of another exit node. The crash is named by that node and the
-	// incarnation of its backend server. The fingerprints are those of the requests that were in
+	// incarnation of its backend server. The fingerprints and the hashes of heads are those of the requests that were in
 	// flight at the crash and are permitted in this region.
-	Crashed func(crash string, fingerprints []uint64)
+	Crashed func(crash string, fingerprints, heads []uint64)
 }
 
 var _ schema.Exchange = (*Exchanger)(nil)
@@ -154,7 +154,7 @@
 
 // Crashed handles a crash report of another exit node of the service.
 func (e *Exchanger) Crashed(_ context.Context, request *schema.CrashedRequest) (*schema.CrashedResponse, error) {
-	e.options.Crashed(request.GetCrash(), request.GetFingerprints())
+	e.options.Crashed(request.GetCrash(), request.GetFingerprints(), request.GetHeads())
 	return &schema.CrashedResponse{}, nil
 }
 
--- a/coordination/executor/admission.go
+++ b/coordination/executor/admission.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, e.loadHint(), err
 	}
-	r, err := e.waitAndRegister(ctx, attempt, admittedAt)
+	r, err := e.identifyAndRegister(ctx, attempt, admittedAt)
 	if err != nil {
 		e.options.Admitter.Release(eelgrasspoint.Sample{At: e.options.Clock(), Admitted: admittedAt, Ignored: true})
 		return nil, nil, err
@@ -72,26 +72,39 @@
 	if backend == nil || backend.Service != meta.Service {
 		return eelgrasspoint.Refuse(eelgrasspoint.NoServer, "")
 	}
-	if e.options.Quarantiner.Status(meta.Fingerprint) == quarantiner.Quarantined {
+	if !meta.BodyOpen && e.options.Quarantiner.Status(meta.Fingerprint) == quarantiner.Quarantined {
 		return eelgrasspoint.Refuse(eelgrasspoint.Quarantined, "")
 	}
 	return nil
 }
 
+// identifyAndRegister registers the run of an attempt once its request is identified as far as necessary.
+func (e *Executor) identifyAndRegister(ctx context.Context, attempt *eelgrasspoint.Attempt, admittedAt time.Time) (*run, error) {
+	attempt, id, err := e.identify(ctx, attempt)
+	if err != nil {
+		return nil, err
+	}
+	r, err := e.waitAndRegister(ctx, attempt, id, admittedAt)
+	if err != nil {
+		id.release()
+	}
+	return r, err
+}
+
 // waitAndRegister registers the run. An attempt with Insists set can't or should not go to another backend
 // server, so it first waits while this one is slow.
-func (e *Executor) waitAndRegister(ctx context.Context, attempt *eelgrasspoint.Attempt, admittedAt time.Time) (*run, error) {
+func (e *Executor) waitAndRegister(ctx context.Context, attempt *eelgrasspoint.Attempt, id *identity, admittedAt time.Time) (*run, error) {
 	if attempt.Meta.Insists {
 		if err := e.waitWhileSlow(ctx, &attempt.Meta); err != nil {
 			return nil, err
 		}
 	}
-	return e.register(attempt, admittedAt)
+	return e.register(attempt, id, admittedAt)
 }
 
 // register adds a run to those in flight. It repeats checkAllowed, since the zone may have gone out of
 // service or the backend server may have left while the attempt waited.
-func (e *Executor) register(attempt *eelgrasspoint.Attempt, admittedAt time.Time) (*run, error) {
+func (e *Executor) register(attempt *eelgrasspoint.Attempt, id *identity, admittedAt time.Time) (*run, error) {
 	if err := e.checkAllowed(&attempt.Meta); err != nil {
 		return nil, err
 	}
@@ -101,12 +114,12 @@
 	if e.backend == nil || e.backend.Draining {
 		return nil, eelgrasspoint.Refuse(eelgrasspoint.Draining, "")
 	}
-	suspect := e.options.Quarantiner.Status(attempt.Meta.Fingerprint) == quarantiner.Suspect
+	suspect := !attempt.Meta.BodyOpen && e.options.Quarantiner.Status(attempt.Meta.Fingerprint) == quarantiner.Suspect
 	if suspect && e.runningSuspects > 0 {
 		return nil, eelgrasspoint.Refuse(eelgrasspoint.Overloaded, "another request suspected of causing crashes is in flight")
 	}
 	r := &run{
-		executor: e, attempt: attempt, backend: *e.backend, transport: e.transport,
+		executor: e, attempt: attempt, identity: id, backend: *e.backend, transport: e.transport,
 		crashesAtStart: e.suspectedCrashes, suspect: suspect, admittedAt: admittedAt, startedAt: e.options.Clock(),
 	}
 	if suspect {
--- a/coordination/executor/crash.go
+++ b/coordination/executor/crash.go
@@ -31,8 +31,7 @@
 	crash := Crash{Service: r.backend.Service, Name: e.crashName(r)}
 	for other := range e.runs {
 		if other.backend.Incarnation == r.backend.Incarnation {
-			meta := &other.attempt.Meta
-			crash.Fingerprints = append(crash.Fingerprints, SuspectRequest{Fingerprint: meta.Fingerprint, Permitted: meta.Permitted})
+			crash.Requests = append(crash.Requests, other.suspectRequest())
 		}
 	}
 	e.suspectCrash(crash)
@@ -66,7 +65,8 @@
 // reportCrash counts the crash against the requests that were in flight, which quarantines them after too
 // many crashes, and sends the crash to the other exit nodes of the service.
 func (e *Executor) reportCrash(crash Crash) {
-	quarantined := e.options.Quarantiner.RecordCrash(crash.Name, fingerprints(crash))
+	fingerprints, heads := hashes(crash)
+	quarantined := e.options.Quarantiner.RecordCrash(crash.Name, fingerprints, heads)
 	if len(quarantined) > 0 {
 		e.record(eelgrasspoint.EventRequestQuarantined, crash.Service, fmt.Sprintf("%d requests quarantined: they were in flight at crash %s (node/incarnation) and at another one", len(quarantined), crash.Name))
 	}
@@ -104,7 +104,7 @@
 	}
 	e.pendingCrash.timer.Stop()
 	e.record(eelgrasspoint.EventBackendCrashed, e.pendingCrash.crash.Service,
-		fmt.Sprintf("crash %s (node/incarnation) of the backend server, with %d requests in flight", e.pendingCrash.crash.Name, len(e.pendingCrash.crash.Fingerprints)))
+		fmt.Sprintf("crash %s (node/incarnation) of the backend server, with %d requests in flight", e.pendingCrash.crash.Name, len(e.pendingCrash.crash.Requests)))
 	e.reportCrash(e.pendingCrash.crash)
 	e.pendingCrash = nil
 }
@@ -118,12 +118,21 @@
 	}
 }
 
-func fingerprints(crash Crash) []uint64 {
-	list := make([]uint64, len(crash.Fingerprints))
-	for i, suspect := range crash.Fingerprints {
-		list[i] = suspect.Fingerprint
+// suspectRequest returns the run's request as one that was in flight at a crash.
+func (r *run) suspectRequest() SuspectRequest {
+	fingerprint, known := r.identity.fingerprint()
+	return SuspectRequest{Head: r.identity.head, Fingerprint: fingerprint, BodyKnown: known, Permitted: r.attempt.Meta.Permitted}
+}
+
+// hashes returns the fingerprints, as far as they are known, and the heads of the requests of a crash.
+func hashes(crash Crash) (fingerprints, heads []uint64) {
+	for _, request := range crash.Requests {
+		heads = append(heads, request.Head)
+		if request.BodyKnown {
+			fingerprints = append(fingerprints, request.Fingerprint)
+		}
 	}
-	return list
+	return fingerprints, heads
 }
 
 func closeQuietly(conn net.Conn) { _ = conn.Close() }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -62,14 +62,18 @@
 	// Name is node/incarnation.
 	Name    string
 	Service string
-	// Fingerprints are the requests that were in flight.
-	Fingerprints []SuspectRequest
+	// Requests are those that were in flight.
+	Requests []SuspectRequest
 }
 
 // SuspectRequest is a request that was in flight at a crash. The quarantiner does not count the crash for a
 // request that succeeded recently.
 type SuspectRequest struct {
+	// Head is the hash of the request's head.
+	Head uint64
+	// Fingerprint is meaningful if BodyKnown is set: the whole body had been read.
 	Fingerprint uint64
+	BodyKnown   bool
 	// Permitted are the regions that may receive the fingerprint; empty means all.
 	Permitted []string
 }
@@ -191,9 +195,10 @@
 	sample.At = e.options.Clock()
 	sample.Admitted = r.admittedAt
 	sample.Duration = r.serviceTime(sample.At)
-	if sample.Succeeded {
-		e.options.Quarantiner.RecordSuccess(r.attempt.Meta.Fingerprint)
+	if fingerprint, known := r.identity.fingerprint(); sample.Succeeded && known {
+		e.options.Quarantiner.RecordSuccess(fingerprint)
 	}
+	r.identity.release()
 	turnedCold, slotsGivenUp := e.options.Admitter.Release(sample)
 	if turnedCold {
 		e.record(eelgrasspoint.EventBackendCold, r.backend.Service, "backend server "+r.backend.Address.String()+" looks cold: it refused a connection, or its latency fell repeatedly when the concurrency limit was lowered")
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -23,6 +23,7 @@
 type run struct {
 	executor  *Executor
 	attempt   *eelgrasspoint.Attempt
+	identity  *identity
 	backend   eelgrasspoint.BackendServer
 	transport *http.Transport
 	// crashesAtStart is Executor.suspectedCrashes when the run started.
@@ -162,6 +163,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return eelgrasspoint.LostReason(ctx)
+	case errors.As(err, new(*quarantinedBodyError)):
+		return eelgrasspoint.Quarantined
 	case isRequestBodyError(err):
 		return eelgrasspoint.BodyCutShort
 	case errors.As(err, new(*inspector.MalformedHeadError)), !dialer.Broken(r.conn):
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -3,16 +3,14 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/fingerprinter"
 	"eelgrasspoint/coordination/retrier"
 	"eelgrasspoint/protocol/propagator"
 	"eelgrasspoint/protocol/responder"
@@ -122,7 +120,7 @@
 	if err := p.bufferBody(r.Context()); err != nil {
 		return p, err
 	}
-	p.meta.Fingerprint = fingerprint(p)
+	p.setFingerprint()
 	return p, nil
 }
 
@@ -142,19 +140,18 @@
 	return limit
 }
 
-// fingerprint identifies a request by what its caller sent, to recognize it again after it crashed a backend
-// server. It is a hash of method, host, URI, Client, idempotency key, body length and the buffered part of
-// the body.
-func fingerprint(p *proxiedRequest) uint64 {
-	d := xxhash.New()
+// setFingerprint sets the fingerprint of the request, by which it is recognized again after it crashed a backend server. If
+// the body is not buffered as a whole, the exit node completes the fingerprint.
+func (p *proxiedRequest) setFingerprint() {
 	r := p.request
-	for _, part := range []string{r.Method, r.Host, r.RequestURI, p.meta.Client, p.idempotencyKey()} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
+	head := fingerprinter.Head(r.Method, r.Host, r.RequestURI, p.meta.Client, p.idempotencyKey())
+	if r.ContentLength != 0 && !p.body.Complete() {
+		p.meta.Fingerprint, p.meta.BodyOpen = head, true
+		return
 	}
-	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(r.ContentLength)))
-	_, _ = d.Write(p.body.Buffered())
-	return d.Sum64()
+	whole := fingerprinter.New(head)
+	_, _ = whole.Write(p.body.Buffered())
+	p.meta.Fingerprint, p.meta.BodyOpen = whole.Sum(), false
 }
 
 func (f *Forwarder) respond(w http.ResponseWriter, p *proxiedRequest, start time.Time, answer *eelgrasspoint.Answer) {
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 package quarantiner
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 
 	mu      sync.Mutex
 	records map[uint64]*record
+	// heads holds until when the requests with a head need a fingerprint before they run, since one of them was in flight at
+	// a crash.
+	heads map[uint64]time.Time
 	// succeeded and olderSucceeded hold the fingerprints of requests that succeeded recently. To bound
 	// the memory, succeeded replaces olderSucceeded when it holds MaxQuarantineRecords of them.
 	succeeded, olderSucceeded map[uint64]struct{}
@@ -43,7 +47,7 @@
 
 // New returns an empty quarantiner.
 func New(clock eelgrasspoint.Clock) *Quarantiner {
-	return &Quarantiner{clock: clock, records: make(map[uint64]*record), succeeded: make(map[uint64]struct{})}
+	return &Quarantiner{clock: clock, records: make(map[uint64]*record), heads: make(map[uint64]time.Time), succeeded: make(map[uint64]struct{})}
 }
 
 // Status returns the status of the request with the fingerprint.
@@ -60,12 +64,25 @@
 	return Suspect
 }
 
+// NeedsFingerprint reports whether a request with the head was in flight at a crash, so that others with the head need a
+// fingerprint of their whole body before they run.
+func (q *Quarantiner) NeedsFingerprint(head uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	until, found := q.heads[head]
+	return found && !until.Before(q.clock())
+}
+
 // RecordCrash counts a crash, identified by node and incarnation, for each of the fingerprints and
-// returns those that are quarantined because of it.
-func (q *Quarantiner) RecordCrash(crash string, fingerprints []uint64) []uint64 {
+// returns those that are quarantined because of it. heads are those of all requests in flight, also of those whose body was
+// not complete, so that they have no fingerprint.
+func (q *Quarantiner) RecordCrash(crash string, fingerprints, heads []uint64) []uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.removeExpired()
+	for _, head := range heads {
+		q.addHead(head)
+	}
 	var quarantined []uint64
 	for _, fingerprint := range fingerprints {
 		if q.recentlySucceeded(fingerprint) {
@@ -117,8 +134,16 @@
 	return before < crashesToQuarantine && len(r.crashes) >= crashesToQuarantine
 }
 
+// addHead makes NeedsFingerprint true for a head. It adds none beyond MaxQuarantineRecords.
+func (q *Quarantiner) addHead(head uint64) {
+	if _, known := q.heads[head]; known || len(q.heads) < eelgrasspoint.MaxQuarantineRecords {
+		q.heads[head] = q.clock().Add(eelgrasspoint.QuarantineTime)
+	}
+}
+
 func (q *Quarantiner) removeExpired() {
 	now := q.clock()
+	maps.DeleteFunc(q.heads, func(_ uint64, until time.Time) bool { return until.Before(now) })
 	for fingerprint, r := range q.records {
 		if r.expiresAt.Before(now) {
 			delete(q.records, fingerprint)
--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -36,13 +36,9 @@
 		if m.Name == view.Self.Name || !serves(m, crash.Service) {
 			continue
 		}
-		fingerprints := permittedFingerprints(crash, m.Region)
-		if len(fingerprints) == 0 {
-			continue
+		if report := reportFor(crash, m.Region); len(report.GetHeads()) > 0 {
+			go r.send(m, report)
 		}
-		go r.send(m, &schema.CrashedRequest{
-			Crash: crash.Name, Service: crash.Service, Fingerprints: fingerprints,
-		})
 	}
 }
 
@@ -58,12 +54,17 @@
 	return m.Alive() && m.BackendServer != nil && m.BackendServer.Service == service
 }
 
-func permittedFingerprints(crash executor.Crash, region string) []uint64 {
-	var fingerprints []uint64
-	for _, request := range crash.Fingerprints {
-		if len(request.Permitted) == 0 || slices.Contains(request.Permitted, region) {
-			fingerprints = append(fingerprints, request.Fingerprint)
+// reportFor returns the report of a crash to a member in a region, with the requests that are permitted there.
+func reportFor(crash executor.Crash, region string) *schema.CrashedRequest {
+	report := &schema.CrashedRequest{Crash: crash.Name, Service: crash.Service}
+	for _, request := range crash.Requests {
+		if len(request.Permitted) > 0 && !slices.Contains(request.Permitted, region) {
+			continue
+		}
+		report.Heads = append(report.Heads, request.Head)
+		if request.BodyKnown {
+			report.Fingerprints = append(report.Fingerprints, request.Fingerprint)
 		}
 	}
-	return fingerprints
+	return report
 }
--- a/protocol/propagator/propagator.go
+++ b/protocol/propagator/propagator.go
@@ -22,6 +22,8 @@
 	Permitted   []string
 	Depth       int
 	Fingerprint uint64
+	// BodyOpen is that of RequestMetadata.
+	BodyOpen bool
 	// Remaining is the time left before the deadline.
 	Remaining time.Duration
 	Attempt   int
@@ -38,7 +40,7 @@
 // nodeHeaders are the headers that only nodes may set.
 var nodeHeaders = []string{
 	eelgrasspoint.HeaderReason, eelgrasspoint.HeaderLoad, eelgrasspoint.HeaderRoute,
-	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderAttempt,
+	eelgrasspoint.HeaderPermitted, eelgrasspoint.HeaderFingerprint, eelgrasspoint.HeaderBodyOpen, eelgrasspoint.HeaderAttempt,
 	eelgrasspoint.HeaderServedBy, eelgrasspoint.HeaderOutcome, eelgrasspoint.HeaderEntryRegion, eelgrasspoint.HeaderInsists,
 	eelgrasspoint.HeaderCaller, eelgrasspoint.HeaderRevision, eelgrasspoint.HeaderService, eelgrasspoint.HeaderWeight,
 	eelgrasspoint.HeaderTargetLatency, eelgrasspoint.HeaderWithdraw,
@@ -57,6 +59,9 @@
 	header[eelgrasspoint.HeaderRoute] = []string{meta.Route}
 	header[eelgrasspoint.HeaderRequestID] = []string{meta.RequestID}
 	header[eelgrasspoint.HeaderFingerprint] = []string{strconv.FormatUint(meta.Fingerprint, 16)}
+	if meta.BodyOpen {
+		header[eelgrasspoint.HeaderBodyOpen] = []string{"1"}
+	}
 	header[eelgrasspoint.HeaderAttempt] = []string{strconv.Itoa(meta.Attempt)}
 	if meta.Caller != "" {
 		header[eelgrasspoint.HeaderCaller] = []string{meta.Caller}
@@ -119,6 +124,7 @@
 		Route:     header.Get(eelgrasspoint.HeaderRoute),
 	}
 	metadata.Insists = header.Get(eelgrasspoint.HeaderInsists) != ""
+	metadata.BodyOpen = header.Get(eelgrasspoint.HeaderBodyOpen) != ""
 	metadata.Caller = header.Get(eelgrasspoint.HeaderCaller)
 	metadata.Service = header.Get(eelgrasspoint.HeaderService)
 	weight, err := strconv.ParseUint(header.Get(eelgrasspoint.HeaderWeight), 10, 32)
--- a/protocol/propagator/propagator_test.go
+++ b/protocol/propagator/propagator_test.go
@@ -17,7 +17,7 @@
 	now := time.Unix(1000, 0)
 	meta := &eelgrasspoint.RequestMetadata{
 		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
-		Fingerprint: 0xfeed, Attempt: 1, Insists: true, Deadline: now.Add(1500 * time.Millisecond),
+		Fingerprint: 0xfeed, BodyOpen: true, Attempt: 1, Insists: true, Deadline: now.Add(1500 * time.Millisecond),
 		Caller: "ledger", Revision: 7, Service: "vitrine", Weight: 998, TargetLatency: 300 * time.Millisecond,
 	}
 	header := http.Header{}
@@ -26,7 +26,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, metadata, propagator.Metadata{
 		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
-		Fingerprint: 0xfeed, Attempt: 1, Insists: true, Remaining: 1500 * time.Millisecond,
+		Fingerprint: 0xfeed, BodyOpen: true, Attempt: 1, Insists: true, Remaining: 1500 * time.Millisecond,
 		Caller: "ledger", Revision: 7, Service: "vitrine", Weight: 998, Target: 300 * time.Millisecond,
 	})
 	fields := reflect.ValueOf(metadata)
--- a/request.go
+++ b/request.go
@@ -12,18 +12,21 @@
 
 // RequestMetadata holds what the load balancer knows about a request besides its HTTP form.
 type RequestMetadata struct {
-	RequestID   string
-	Client      string
-	Route       string
-	Service     string
-	Kind        string
-	Weight      uint32
-	Idempotent  bool
-	Hedge       bool
-	Depth       int
-	Deadline    time.Time
-	Permitted   []string
+	RequestID  string
+	Client     string
+	Route      string
+	Service    string
+	Kind       string
+	Weight     uint32
+	Idempotent bool
+	Hedge      bool
+	Depth      int
+	Deadline   time.Time
+	Permitted  []string
+	// Fingerprint identifies the request; see package fingerprinter. With BodyOpen set, it is the hash of the head only: the
+	// entry node has not read the whole body.
 	Fingerprint uint64
+	BodyOpen    bool
 	Attempt     int
 	// Insists makes the exit node queue the request rather than refuse it while its backend server is
 	// slow or full.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -231,8 +231,8 @@
 	reporter.New(r.controller, r.controlClient).Report(crash)
 }
 
-func (r *Runner) recordCrash(crashID string, fingerprints []uint64) {
-	r.quarantiner.RecordCrash(crashID, fingerprints)
+func (r *Runner) recordCrash(crashID string, fingerprints, heads []uint64) {
+	r.quarantiner.RecordCrash(crashID, fingerprints, heads)
 }
 
 // timelineEvents returns the recorded events that match the request, at most the last
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -124,7 +124,7 @@
 	received, err := propagator.Read(request.Header)
 	meta := &eelgrasspoint.RequestMetadata{
 		RequestID: received.RequestID, Client: received.Client, Route: received.Route, Depth: received.Depth,
-		Fingerprint: received.Fingerprint, Attempt: received.Attempt, Insists: received.Insists,
+		Fingerprint: received.Fingerprint, BodyOpen: received.BodyOpen, Attempt: received.Attempt, Insists: received.Insists,
 		Deadline: r.Clock().Add(received.Remaining), Permitted: received.Permitted,
 		Caller: received.Caller, Revision: received.Revision,
 	}
