A quarantine outlives the process that found it

Cause: a crash was reported once, to the nodes alive then, and kept in memory. A process that started asked nobody, and no row was written.

Change: each quarantine has a row, read before the backend server is used (package persister: one read at a start, one or two writes for a quarantine). Heartbeats carry a hash of the quarantines; nodes that know different ones exchange them. Since a quarantine now reaches all nodes, a node at which the request succeeded clears it everywhere. What is passed on is the time left, so that it ends by itself. Rows that can't be read, are old or foreign refuse nobody.

Why it works: the outcome of two crashes is kept where no process can lose it, and each node compares what it knows with two others each second.

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/assigner"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
@@ -42,10 +43,8 @@
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
 	Settled func() bool
-	// Crashed handles a crash report of another exit node. The crash is named by that node and the
-	// incarnation of its backend server. The fingerprints and the hashes of heads are those of the requests that were in
-	// flight at the crash and are permitted in this region.
-	Crashed func(crash string, fingerprints, heads []uint64)
+	// Quarantiner holds the requests that crash backend servers.
+	Quarantiner *quarantiner.Quarantiner
 }
 
 var _ schema.Exchange = (*Exchanger)(nil)
@@ -68,13 +67,14 @@
 	}
 	updates := e.updatesFor(view, request)
 	return &schema.ConverseResponse{
-		From:        view.Self.Name,
-		Revision:    view.Revision,
-		StateDigest: view.StateDigest,
-		Digest:      view.Digest,
-		News:        translator.MemberMessages(updates),
-		Load:        translator.LoadMessage(e.options.Load()),
-		Wall:        uint64(e.options.Now().UnixNano()),
+		From:             view.Self.Name,
+		Revision:         view.Revision,
+		StateDigest:      view.StateDigest,
+		QuarantineDigest: e.options.Quarantiner.Digest(view.Self.Region, request.GetRegion()),
+		Digest:           view.Digest,
+		News:             translator.MemberMessages(updates),
+		Load:             translator.LoadMessage(e.options.Load()),
+		Wall:             uint64(e.options.Now().UnixNano()),
 	}, nil
 }
 
@@ -154,10 +154,21 @@
 
 // Crashed handles a crash report of another exit node of the service.
 func (e *Exchanger) Crashed(_ context.Context, request *schema.CrashedRequest) (*schema.CrashedResponse, error) {
-	e.options.Crashed(request.GetCrash(), request.GetFingerprints(), request.GetHeads())
+	e.options.Quarantiner.RecordCrash(request.GetCrash(), translator.CrashSuspects(request))
 	return &schema.CrashedResponse{}, nil
 }
 
+// Quarantines learns the quarantines of the caller, and returns those of this node that the caller's region may receive.
+func (e *Exchanger) Quarantines(_ context.Context, request *schema.QuarantinesRequest) (*schema.QuarantinesResponse, error) {
+	now := e.options.Clock()
+	e.options.Quarantiner.Clear(request.GetDisproved())
+	disproved := e.options.Quarantiner.Learn(translator.Quarantines(request.GetQuarantines(), now))
+	return &schema.QuarantinesResponse{
+		Quarantines: translator.QuarantineMessages(e.options.Quarantiner.Quarantines(request.GetRegion()), now),
+		Disproved:   disproved,
+	}, nil
+}
+
 func (e *Exchanger) recordBadInput(detail string) {
 	e.options.Recorder.Record(eelgrasspoint.Event{Number: eelgrasspoint.EventBadInput, Detail: detail})
 }
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/exchanger"
+	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/holder"
@@ -41,7 +42,8 @@
 	f.Cleanup(cancel)
 	go c.Run(ctx)
 	e := exchanger.New(exchanger.Options{
-		Cluster: "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
+		Quarantiner: quarantiner.New(time.Now),
+		Cluster:     "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
 		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
 		StartFetch: func(eelgrasspoint.Member, uint64) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
 	})
--- a/coordination/executor/crash.go
+++ b/coordination/executor/crash.go
@@ -31,7 +31,7 @@
 	crash := Crash{Service: r.backend.Service, Name: e.crashName(r)}
 	for other := range e.runs {
 		if other.backend.Incarnation == r.backend.Incarnation {
-			crash.Requests = append(crash.Requests, other.suspectRequest())
+			crash.Requests = append(crash.Requests, other.crashSuspect())
 		}
 	}
 	e.suspectCrash(crash)
@@ -65,10 +65,12 @@
 // reportCrash counts the crash against the requests that were in flight, which quarantines them after too
 // many crashes, and sends the crash to the other exit nodes of the service.
 func (e *Executor) reportCrash(crash Crash) {
-	fingerprints, heads := hashes(crash)
-	quarantined := e.options.Quarantiner.RecordCrash(crash.Name, fingerprints, heads)
+	quarantined := e.options.Quarantiner.RecordCrash(crash.Name, crash.Requests)
 	if len(quarantined) > 0 {
 		e.record(eelgrasspoint.EventRequestQuarantined, crash.Service, fmt.Sprintf("%d requests quarantined: they were in flight at crash %s (node/incarnation) and at another one", len(quarantined), crash.Name))
+		if e.options.Quarantined != nil {
+			e.options.Quarantined()
+		}
 	}
 	if e.options.Report != nil {
 		go e.options.Report(crash)
@@ -118,21 +120,12 @@
 	}
 }
 
-// suspectRequest returns the run's request as one that was in flight at a crash.
-func (r *run) suspectRequest() SuspectRequest {
+// crashSuspect returns the run's request as one that was in flight at a crash.
+func (r *run) crashSuspect() eelgrasspoint.CrashSuspect {
 	fingerprint, known := r.identity.fingerprint()
-	return SuspectRequest{Head: r.identity.head, Fingerprint: fingerprint, BodyKnown: known, Permitted: r.attempt.Meta.Permitted}
-}
-
-// hashes returns the fingerprints, as far as they are known, and the heads of the requests of a crash.
-func hashes(crash Crash) (fingerprints, heads []uint64) {
-	for _, request := range crash.Requests {
-		heads = append(heads, request.Head)
-		if request.BodyKnown {
-			fingerprints = append(fingerprints, request.Fingerprint)
-		}
+	return eelgrasspoint.CrashSuspect{
+		Head: r.identity.head, Fingerprint: fingerprint, BodyKnown: known, Permitted: r.attempt.Meta.Permitted,
 	}
-	return fingerprints, heads
 }
 
 func closeQuietly(conn net.Conn) { _ = conn.Close() }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -55,6 +55,8 @@
 	Leaving func(backend eelgrasspoint.BackendServer)
 	// Report sends a crash to the other exit nodes of the service. It may be nil.
 	Report func(Crash)
+	// Quarantined is called when the crashes here quarantined requests. It may be nil.
+	Quarantined func()
 }
 
 // Crash describes a crash of a backend server and the requests that were in flight.
@@ -63,19 +65,7 @@
 	Name    string
 	Service string
 	// Requests are those that were in flight.
-	Requests []SuspectRequest
-}
-
-// SuspectRequest is a request that was in flight at a crash. The quarantiner does not count the crash for a
-// request that succeeded recently.
-type SuspectRequest struct {
-	// Head is the hash of the request's head.
-	Head uint64
-	// Fingerprint is meaningful if BodyKnown is set: the whole body had been read.
-	Fingerprint uint64
-	BodyKnown   bool
-	// Permitted are the regions that may receive the fingerprint; empty means all.
-	Permitted []string
+	Requests []eelgrasspoint.CrashSuspect
 }
 
 var _ eelgrasspoint.RoundTripper = (*Executor)(nil)
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -12,6 +12,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
@@ -52,6 +53,8 @@
 	Clock eelgrasspoint.Clock
 	// Tracker remembers which updates other nodes have.
 	Tracker *tracker.Tracker
+	// Quarantiner holds the requests that crash backend servers.
+	Quarantiner *quarantiner.Quarantiner
 	// Settled is called when the members were synchronized with a node that has joined.
 	Settled func()
 	// Refreshed is called with the local time after each round of heartbeats if the control state is
@@ -70,6 +73,8 @@
 	// node, so messages to it carry that entry.
 	lagging  bool
 	syncedAt time.Time
+	// quarantinesAt is when the quarantines were last exchanged with the member.
+	quarantinesAt time.Time
 	// revision and stateDigest are those of the member's configuration when it last answered.
 	revision, stateDigest uint64
 }
@@ -165,7 +170,7 @@
 		// A new process of the member needs this node's entry to find others, and its own for the departures in it.
 		updates = append([]eelgrasspoint.Member{view.Self, m}, updates...)
 	}
-	response, err := client.Converse(ctx, o.request(view, updates))
+	response, err := client.Converse(ctx, o.request(view, m, updates))
 	if err != nil {
 		return err
 	}
@@ -183,9 +188,10 @@
 		// The member fetches the newer configuration only from a node whose entry it has. The second
 		// request carries this node's entry, because the member is now marked as lagging. Without its answer, the
 		// member is not silent: it has answered the first.
-		_, _ = client.Converse(ctx, o.request(view, o.updatesFor(view, m.Name)))
+		_, _ = client.Converse(ctx, o.request(view, m, o.updatesFor(view, m.Name)))
 	}
 	o.compareDigest(ctx, view, m, response)
+	o.compareQuarantines(ctx, view, m, response)
 	return nil
 }
 
@@ -198,15 +204,18 @@
 	return updates
 }
 
-func (o *Observer) request(view *eelgrasspoint.MembershipView, updates []eelgrasspoint.Member) *schema.ConverseRequest {
+// request returns the heartbeat to a member.
+func (o *Observer) request(view *eelgrasspoint.MembershipView, to eelgrasspoint.Member, updates []eelgrasspoint.Member) *schema.ConverseRequest {
 	return &schema.ConverseRequest{
-		Cluster:     o.options.Cluster,
-		From:        view.Self.Name,
-		Revision:    view.Revision,
-		StateDigest: view.StateDigest,
-		Digest:      view.Digest,
-		News:        translator.MemberMessages(updates),
-		Wall:        uint64(o.options.Now().UnixNano()),
+		Cluster:          o.options.Cluster,
+		From:             view.Self.Name,
+		Revision:         view.Revision,
+		StateDigest:      view.StateDigest,
+		QuarantineDigest: o.options.Quarantiner.Digest(view.Self.Region, to.Region),
+		Region:           view.Self.Region,
+		Digest:           view.Digest,
+		News:             translator.MemberMessages(updates),
+		Wall:             uint64(o.options.Now().UnixNano()),
 	}
 }
 
--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -17,6 +17,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/controller"
+	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/holder"
@@ -56,7 +57,7 @@
 	o := New(Options{
 		Controller: c, Client: http.DefaultClient, Recorder: events, Witness: events.AdvanceClock, Now: events.Now,
 		Meter: meter.New(meter.Source{}), Clock: time.Now, Tracker: tracker.New(), Refreshed: func(time.Time) {},
-		Fetch: func(context.Context, eelgrasspoint.Member, uint64) {},
+		Fetch: func(context.Context, eelgrasspoint.Member, uint64) {}, Quarantiner: quarantiner.New(time.Now),
 	})
 	member := eelgrasspoint.Member{Name: "peer", Region: "r", PeerAddress: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
 	assert.NilError(t, o.sendHeartbeat(t.Context(), c.View(), member))
--- a/coordination/observer/spread.go
+++ b/coordination/observer/spread.go
@@ -57,7 +57,7 @@
 func (o *Observer) sendOwnEntry(ctx context.Context, view *eelgrasspoint.MembershipView, m eelgrasspoint.Member) bool {
 	o.options.Meter.CountExchange("Converse")
 	own := []eelgrasspoint.Member{view.Self}
-	if _, err := o.client(m).Converse(ctx, o.request(view, own)); err != nil {
+	if _, err := o.client(m).Converse(ctx, o.request(view, m, own)); err != nil {
 		return false
 	}
 	o.options.Tracker.Acknowledge(m.Name, own)
--- a/coordination/observer/synchronization.go
+++ b/coordination/observer/synchronization.go
@@ -66,6 +66,8 @@
 	members, _ := translator.Members(response.GetMembers())
 	o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	if response.GetSettled() {
+		// A process that has just started may not let requests run before it knows which of them crash its server.
+		o.exchangeQuarantines(ctx, m)
 		o.options.Settled()
 	}
 	o.options.Controller.Submit(controller.Rebroadcast{Names: newerThan(assigner.MembersInBuckets(own, response.GetBuckets()), members)})
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -27,12 +27,20 @@
 	// succeeded and olderSucceeded hold the fingerprints of requests that succeeded recently. To bound
 	// the memory, succeeded replaces olderSucceeded when it holds MaxQuarantineRecords of them.
 	succeeded, olderSucceeded map[uint64]struct{}
+	// withRow are the fingerprints of cleared quarantines whose rows are to be deleted.
+	withRow []uint64
 }
 
 // record holds the crashes counted for one fingerprint.
 type record struct {
 	crashes   map[string]struct{}
 	expiresAt time.Time
+	// proved is set if another node, or a row of the table service, says that the request is quarantined.
+	proved bool
+	// head, permitted and stored are those of eelgrasspoint.Quarantine.
+	head      uint64
+	permitted []string
+	stored    bool
 }
 
 // Status is the degree of suspicion that a request crashes backend servers.
@@ -58,7 +66,7 @@
 	if r == nil || r.expiresAt.Before(q.clock()) {
 		return Clean
 	}
-	if len(r.crashes) >= crashesToQuarantine {
+	if r.isQuarantined() {
 		return Quarantined
 	}
 	return Suspect
@@ -73,23 +81,20 @@
 	return found && !until.Before(q.clock())
 }
 
-// RecordCrash counts a crash, identified by node and incarnation, for each of the fingerprints and
-// returns those that are quarantined because of it. heads are those of all requests in flight, also of those whose body was
-// not complete, so that they have no fingerprint.
-func (q *Quarantiner) RecordCrash(crash string, fingerprints, heads []uint64) []uint64 {
+// RecordCrash counts a crash, identified by node and incarnation, for each of the requests that were in flight, and
+// returns those that are quarantined because of it. Of a request whose body was not complete only the head is known.
+func (q *Quarantiner) RecordCrash(crash string, suspects []eelgrasspoint.CrashSuspect) []eelgrasspoint.Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.removeExpired()
-	for _, head := range heads {
-		q.addHead(head)
-	}
-	var quarantined []uint64
-	for _, fingerprint := range fingerprints {
-		if q.recentlySucceeded(fingerprint) {
+	var quarantined []eelgrasspoint.Quarantine
+	for _, suspect := range suspects {
+		q.addHead(suspect.Head)
+		if !suspect.BodyKnown || q.recentlySucceeded(suspect.Fingerprint) {
 			continue
 		}
-		if q.countCrash(crash, fingerprint) {
-			quarantined = append(quarantined, fingerprint)
+		if q.countCrash(crash, suspect) {
+			quarantined = append(quarantined, q.records[suspect.Fingerprint].quarantine(suspect.Fingerprint))
 		}
 	}
 	return quarantined
@@ -101,14 +106,18 @@
 func (q *Quarantiner) RecordSuccess(fingerprint uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.addSuccess(fingerprint)
+	if r := q.records[fingerprint]; r != nil && !r.isQuarantined() {
+		delete(q.records, fingerprint)
+	}
+}
+
+func (q *Quarantiner) addSuccess(fingerprint uint64) {
 	q.succeeded[fingerprint] = struct{}{}
 	if len(q.succeeded) >= eelgrasspoint.MaxQuarantineRecords {
 		q.olderSucceeded = q.succeeded
 		q.succeeded = make(map[uint64]struct{})
 	}
-	if r := q.records[fingerprint]; r != nil && len(r.crashes) < crashesToQuarantine {
-		delete(q.records, fingerprint)
-	}
 }
 
 func (q *Quarantiner) recentlySucceeded(fingerprint uint64) bool {
@@ -117,21 +126,28 @@
 	return recent || older
 }
 
-// countCrash adds the crash to the record of the fingerprint and reports whether that quarantines
-// the request. It adds no record beyond MaxQuarantineRecords.
-func (q *Quarantiner) countCrash(crash string, fingerprint uint64) bool {
-	r := q.records[fingerprint]
+// countCrash adds the crash to the record of the request and reports whether that quarantines it. It adds no record beyond
+// MaxQuarantineRecords.
+func (q *Quarantiner) countCrash(crash string, suspect eelgrasspoint.CrashSuspect) bool {
+	r := q.recordOf(suspect.Fingerprint)
 	if r == nil {
-		if len(q.records) >= eelgrasspoint.MaxQuarantineRecords {
-			return false
-		}
-		r = &record{crashes: make(map[string]struct{})}
-		q.records[fingerprint] = r
+		return false
 	}
-	before := len(r.crashes)
+	before := r.isQuarantined()
 	r.crashes[crash] = struct{}{}
 	r.expiresAt = q.clock().Add(eelgrasspoint.QuarantineTime)
-	return before < crashesToQuarantine && len(r.crashes) >= crashesToQuarantine
+	r.head, r.permitted = suspect.Head, suspect.Permitted
+	return !before && r.isQuarantined()
+}
+
+// recordOf returns the record of a fingerprint, a new one if there is none, or nil if there are MaxQuarantineRecords.
+func (q *Quarantiner) recordOf(fingerprint uint64) *record {
+	r := q.records[fingerprint]
+	if r == nil && len(q.records) < eelgrasspoint.MaxQuarantineRecords {
+		r = &record{crashes: make(map[string]struct{})}
+		q.records[fingerprint] = r
+	}
+	return r
 }
 
 // addHead makes NeedsFingerprint true for a head. It adds none beyond MaxQuarantineRecords.
--- a/coordination/replicator/replicator.go
+++ b/coordination/replicator/replicator.go
@@ -46,9 +46,11 @@
 	Table      eelgrasspoint.Table
 	// Spread sends the node's own entry to other nodes. It returns the number of those that have received it, and
 	// whether they are enough without the table service.
-	Spread   func(ctx context.Context) (nodes int, enough bool)
-	Recorder eelgrasspoint.Recorder
-	Clock    eelgrasspoint.Clock
+	Spread func(ctx context.Context) (nodes int, enough bool)
+	// RestoreQuarantines reads the quarantines from the table service, beside the departures; it is optional.
+	RestoreQuarantines func(ctx context.Context) error
+	Recorder           eelgrasspoint.Recorder
+	Clock              eelgrasspoint.Clock
 }
 
 const (
--- a/coordination/replicator/restore.go
+++ b/coordination/replicator/restore.go
@@ -44,6 +44,9 @@
 func (r *Replicator) restoreRows(ctx context.Context) {
 	for ctx.Err() == nil {
 		departures, err := r.readRows(ctx)
+		if err == nil && r.options.RestoreQuarantines != nil {
+			err = r.options.RestoreQuarantines(ctx)
+		}
 		if err == nil {
 			r.options.Controller.Submit(controller.LearnDepartures{Departures: departures})
 			close(r.rowsRead)
--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -11,6 +11,7 @@
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/coordination/executor"
 	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
 )
 
 // Reporter sends crash reports to the members that may serve the requests that were in flight at the crash.
@@ -36,7 +37,7 @@
 		if m.Name == view.Self.Name || !serves(m, crash.Service) {
 			continue
 		}
-		if report := reportFor(crash, m.Region); len(report.GetHeads()) > 0 {
+		if report := reportFor(crash, m.Region); len(report.GetSuspects()) > 0 {
 			go r.send(m, report)
 		}
 	}
@@ -61,7 +62,7 @@
 		if len(request.Permitted) > 0 && !slices.Contains(request.Permitted, region) {
 			continue
 		}
-		report.Heads = append(report.Heads, request.Head)
+		report.Suspects = append(report.Suspects, translator.CrashSuspectMessage(request))
 		if request.BodyKnown {
 			report.Fingerprints = append(report.Fingerprints, request.Fingerprint)
 		}
--- a/event.go
+++ b/event.go
@@ -63,6 +63,7 @@
 	EventAnnouncementHeld
 	EventStoreRestored
 	EventEpochUnreadable
+	EventQuarantinesRestored
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/runner/build.go
+++ b/runner/build.go
@@ -16,6 +16,7 @@
 	"eelgrasspoint/coordination/limiter"
 	"eelgrasspoint/coordination/observer"
 	"eelgrasspoint/coordination/operator"
+	"eelgrasspoint/coordination/persister"
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/retrier"
@@ -49,7 +50,7 @@
 	r.controlClient = &http.Client{Transport: messenger.New(r.controlDialer.DialContext)}
 	r.executor = executor.New(executor.Options{
 		Holder: r.holder, Admitter: r.admitter, Quarantiner: r.quarantiner, Recorder: r.recorder,
-		Clock: clock, Dial: r.options.BackendDial, Report: r.reportCrash, Contract: r.options.Contract,
+		Clock: clock, Dial: r.options.BackendDial, Report: r.reportCrash, Quarantined: func() { r.persister.Found() }, Contract: r.options.Contract,
 		TellsLoad: r.options.TellsLoad, CountCheck: r.meter.CountHealthCheck, CountArrival: r.meter.CountArrival, Leaving: r.markLeaving,
 	})
 	r.peers = dispatcher.New(r.options.Dial, r.settings.Region, clock)
@@ -76,11 +77,15 @@
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
 		DeadClient: &http.Client{Transport: messenger.NewWithoutReuse(r.controlDialer.DialContext)},
 		Witness:    r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
-		Settled: r.settle,
+		Settled: r.settle, Quarantiner: r.quarantiner,
 	})
 	r.table = r.options.Table(r.meter.CountStoreCall)
+	r.persister = persister.New(persister.Options{
+		Region: r.settings.Region, Quarantiner: r.quarantiner, Table: r.table, Recorder: r.recorder, Clock: clock, Keeps: r.firstInRegion,
+	})
 	r.replicator = replicator.New(replicator.Options{
 		Name: r.settings.Name, Controller: r.controller, Table: r.table, Spread: r.observer.Spread, Recorder: r.recorder, Clock: clock,
+		RestoreQuarantines: r.persister.Restore,
 	})
 	rowPublisher := publisher.New(r.table)
 	r.staggerer = staggerer.New(eelgrasspoint.ChangesCallInterval, eelgrasspoint.MaxChangesWait)
@@ -111,7 +116,7 @@
 		exchange: r.restricted(peerServer, limits.exchange, refuseCall, schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Crashed: r.recordCrash,
+			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
 			Settled: r.settled.Load,
 		}))),
 		operators: r.restricted(controlServer, limits.control.restricter, refuseCall, schema.NewOperatorsServer(operator.New(operator.Options{
--- a/runner/epoch.go
+++ b/runner/epoch.go
@@ -33,6 +33,7 @@
 	r.sleepJittered(ctx, rewriteDelay)
 	since := r.options.Clock().Add(-copyAge)
 	r.replicator.RewriteRows(since)
+	r.persister.RewriteRows(since)
 	for ctx.Err() == nil && time.Unix(0, r.memberRowAt.Load()).After(since) {
 		if r.writeMemberRow(ctx) == nil {
 			return
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -185,6 +185,9 @@
 	if err := r.replicator.DeleteExpiredRows(ctx); err != nil {
 		r.recordStoreDown(ctx, err)
 	}
+	if err := r.persister.DeleteExpiredRows(ctx); err != nil {
+		r.recordStoreDown(ctx, err)
+	}
 	rows, err := r.table.Scan(ctx, memberRowPrefix)
 	if err != nil {
 		r.recordStoreDown(ctx, err)
@@ -200,6 +203,16 @@
 	}
 }
 
+// firstInRegion reports whether this node is the first member alive of its region, in the order of names.
+func (r *Runner) firstInRegion() bool {
+	for _, m := range r.controller.View().Members {
+		if m.Alive() && m.Region == r.settings.Region {
+			return m.Name == r.settings.Name
+		}
+	}
+	return false
+}
+
 // recordStoreDown records EventStoreDown for a failed call of the table service (the store of events and
 // metrics), unless ctx has ended. Further failures are not recorded until recordStoreBack is called.
 func (r *Runner) recordStoreDown(ctx context.Context, err error) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -22,6 +22,7 @@
 	"eelgrasspoint/coordination/fetcher"
 	"eelgrasspoint/coordination/observer"
 	"eelgrasspoint/coordination/operator"
+	"eelgrasspoint/coordination/persister"
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/reporter"
@@ -57,6 +58,7 @@
 	controller      *controller.Controller
 	fetcher         *fetcher.Fetcher
 	observer        *observer.Observer
+	persister       *persister.Persister
 	replicator      *replicator.Replicator
 	tracker         *tracker.Tracker
 	table           eelgrasspoint.Table
@@ -161,6 +163,7 @@
 	go r.observer.Run(background)
 	go r.join(background)
 	go r.replicator.Run(background)
+	go r.persister.Run(background)
 	go r.restoreFromMembers(background)
 	go r.followConfiguration(background)
 	go r.discoverBackend(background)
@@ -231,10 +234,6 @@
 	reporter.New(r.controller, r.controlClient).Report(crash)
 }
 
-func (r *Runner) recordCrash(crashID string, fingerprints, heads []uint64) {
-	r.quarantiner.RecordCrash(crashID, fingerprints, heads)
-}
-
 // timelineEvents returns the recorded events that match the request, at most the last
 // MaxTimelineEvents.
 func (r *Runner) timelineEvents(request *schema.TimelineRequest) []eelgrasspoint.Event {
--- a/standin/proof/ends_test.go
+++ b/standin/proof/ends_test.go
@@ -68,6 +68,7 @@
 	defer cancel()
 	request, _ := http.NewRequestWithContext(ctx, method, node.URL(path), io.NopCloser(strings.NewReader(id)))
 	request.ContentLength = int64(len(id))
+	request.Host = "stage.example"
 	if id == "" {
 		request.Body = http.NoBody
 	}
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -67,7 +67,7 @@
 		Help: "Bytes of requests sent and answers received over the link to other regions, including a fixed allowance for headers.",
 	})
 	m.storeCalls = newCounterVec("store_calls_total", "Calls to the platform's table service, by call and result.", "call", "result")
-	m.exchangeMessages = newCounterVec("exchange_messages_total", "Messages that the node sent to other nodes, by kind: Converse, Configuration or Members.", "kind")
+	m.exchangeMessages = newCounterVec("exchange_messages_total", "Messages that the node sent to other nodes, by kind: Converse, Configuration, Members or Quarantines.", "kind")
 	m.healthChecks = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "health_checks_total", Help: "Health checks sent to the backend server beside the node.",
 	})
