A body that is read after its request was given up reserves nothing

Cause, found by reading: a request whose body is held ends at its deadline, while the read of the body goes on until its caller is gone.

Change: once released, a request reserves no more; the read ends with the next part. TestBodyThatDoesNotArriveIsRefused covers the refusal; the reservation is by reading only.

--- a/coordination/executor/identity.go
+++ b/coordination/executor/identity.go
@@ -22,8 +22,9 @@
 	mu    sync.Mutex
 	whole uint64
 	known bool
-	// reserved is the number of bytes of the body in heldTotal.
+	// reserved is the number of bytes of the body in heldTotal, and released is set once no more are reserved.
 	reserved int64
+	released bool
 }
 
 // heldTotal is the number of bytes of the bodies that are held by all requests of the process.
@@ -46,7 +47,7 @@
 func (i *identity) reserve(n int64) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.reserved+n > eelgrasspoint.MaxHeldBodyBytes {
+	if i.released || i.reserved+n > eelgrasspoint.MaxHeldBodyBytes {
 		return false
 	}
 	if heldTotal.Add(n) > eelgrasspoint.MaxHeldTotalBytes {
@@ -62,7 +63,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	heldTotal.Add(-i.reserved)
-	i.reserved = 0
+	i.reserved, i.released = 0, true
 }
 
 // identify returns the attempt with a body that is identified while it is read. If a request with the same head was in flight
