One sweeper for the rows that are no longer needed

The rows of dead members, of old departures and of quarantines that have ended were deleted by three copies of one loop. No change of behavior.

--- a/coordination/persister/persister.go
+++ b/coordination/persister/persister.go
@@ -14,6 +14,7 @@
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/sweeper"
 )
 
 // Persister writes and reads the rows of quarantines.
@@ -196,24 +197,12 @@
 	return translator.QuarantineFromRow(&message), nil
 }
 
-// DeleteExpiredRows deletes the rows that are no longer in force, also those that can't be read. A row that was rewritten
-// after it was read is kept.
+// DeleteExpiredRows deletes the rows that are no longer in force, also those that can't be read.
 func (p *Persister) DeleteExpiredRows(ctx context.Context) error {
-	rows, err := p.options.Table.Scan(ctx, rowPrefix)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		if q, err := parse(row); err == nil && p.inForce(q) {
-			continue
-		}
-		if err := p.options.Table.Commit(ctx, eelgrasspoint.DeletionOf(row)); err != nil {
-			p.options.Recorder.Record(eelgrasspoint.Event{
-				Number: eelgrasspoint.EventRowKept, Detail: "deletion of row " + row.Key + " failed: " + err.Error(),
-			})
-		}
-	}
-	return nil
+	return sweeper.New(p.options.Table, p.options.Recorder).Sweep(ctx, rowPrefix, func(row eelgrasspoint.Row) bool {
+		q, err := parse(row)
+		return err == nil && p.inForce(q)
+	})
 }
 
 // inForce reports whether a row is to be kept. One that would be in force for longer than any quarantine was written by a node
--- a/coordination/replicator/row.go
+++ b/coordination/replicator/row.go
@@ -12,6 +12,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/sweeper"
 )
 
 // rowPrefix is the key prefix of the rows of departures. Each departure has a row of its own, so that a write that
@@ -77,20 +78,10 @@
 	return translator.Departure(&message), nil
 }
 
-// DeleteExpiredRows deletes the rows of all nodes whose departures are older than rowTTL. A row that was rewritten
-// after it was read is kept.
+// DeleteExpiredRows deletes the rows of all nodes whose departures are older than rowTTL, also those that can't be read.
 func (r *Replicator) DeleteExpiredRows(ctx context.Context) error {
-	rows, err := r.options.Table.Scan(ctx, rowPrefix)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		if d, err := parseRow(row); err == nil && r.options.Clock().Sub(d.At) < rowTTL {
-			continue
-		}
-		if err := r.options.Table.Commit(ctx, eelgrasspoint.DeletionOf(row)); err != nil {
-			r.record(eelgrasspoint.EventRowKept, "deletion of row "+row.Key+" failed: "+err.Error())
-		}
-	}
-	return nil
+	return sweeper.New(r.options.Table, r.options.Recorder).Sweep(ctx, rowPrefix, func(row eelgrasspoint.Row) bool {
+		d, err := parseRow(row)
+		return err == nil && r.options.Clock().Sub(d.At) < rowTTL
+	})
 }
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -13,6 +13,7 @@
 	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/sweeper"
 )
 
 // memberRowPrefix is the key prefix of the rows by which nodes find each other.
@@ -162,14 +163,14 @@
 	for ctx.Err() == nil {
 		r.sleepJittered(ctx, eelgrasspoint.MemberRowInterval)
 		_ = r.writeMemberRow(ctx)
-		r.deleteDeadMemberRows(ctx)
+		r.deleteUnusedRows(ctx)
 	}
 }
 
-// deleteDeadMemberRows deletes the rows of dead members, which left or failed, and those of old
-// departures. Normally only the first member alive, in the order of names, does so. It does no harm if
+// deleteUnusedRows deletes the rows of dead members, which left or failed, of old departures and of quarantines that have
+// ended. Normally only the first member alive, in the order of names, does so. It does no harm if
 // several nodes do so at once, since a row that was rewritten after it was read is kept.
-func (r *Runner) deleteDeadMemberRows(ctx context.Context) {
+func (r *Runner) deleteUnusedRows(ctx context.Context) {
 	members := r.controller.View().Members
 	dead := make(map[string]bool, len(members))
 	firstAlive := ""
@@ -182,23 +183,12 @@
 	if firstAlive != r.settings.Name {
 		return
 	}
-	if err := r.replicator.DeleteExpiredRows(ctx); err != nil {
-		r.recordStoreDown(ctx, err)
-	}
-	if err := r.persister.DeleteExpiredRows(ctx); err != nil {
-		r.recordStoreDown(ctx, err)
-	}
-	rows, err := r.table.Scan(ctx, memberRowPrefix)
-	if err != nil {
-		r.recordStoreDown(ctx, err)
-		return
-	}
-	for _, row := range rows {
-		if !dead[strings.TrimPrefix(row.Key, memberRowPrefix)] {
-			continue
-		}
-		if err := r.table.Commit(ctx, eelgrasspoint.DeletionOf(row)); err != nil {
-			r.record(eelgrasspoint.EventRowKept, "deletion of row "+row.Key+" of a dead member failed: "+err.Error())
+	membersErr := sweeper.New(r.table, r.recorder).Sweep(ctx, memberRowPrefix, func(row eelgrasspoint.Row) bool {
+		return !dead[strings.TrimPrefix(row.Key, memberRowPrefix)]
+	})
+	for _, err := range []error{r.replicator.DeleteExpiredRows(ctx), r.persister.DeleteExpiredRows(ctx), membersErr} {
+		if err != nil {
+			r.recordStoreDown(ctx, err)
 		}
 	}
 }
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -59,18 +59,20 @@
 	restarts.Wait()
 }
 
+// kill kills the processes of nodes at once, and starts the next ones half a second later.
+func kill(nodes ...*simulator.Node) {
+	for _, n := range nodes {
+		n.KillNode()
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, n := range nodes {
+		n.StartNode()
+	}
+}
+
 // TestDepartedServerStaysOutAfterRestart guards against a server that is in use again after it has left, since the
 // process that acknowledged its departure has ended and a late registration reaches the next one.
 func TestDepartedServerStaysOutAfterRestart(t *testing.T) {
-	kill := func(nodes ...*simulator.Node) {
-		for _, n := range nodes {
-			n.KillNode()
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, n := range nodes {
-			n.StartNode()
-		}
-	}
 	down := platform.Faults{Down: true}
 	restoreLater := func(s *simulator.Simulator) {
 		time.AfterFunc(time.Second, func() { s.Platform.SetFaults(platform.Faults{}) })
--- a/standin/proof/quarantines_test.go
+++ b/standin/proof/quarantines_test.go
@@ -35,15 +35,6 @@
 // TestQuarantineOutlivesProcesses guards against a request that crashes backend servers again, since the process that would
 // run it does not know what others have learned: it has started since, joined, or missed a report.
 func TestQuarantineOutlivesProcesses(t *testing.T) {
-	kill := func(nodes ...*simulator.Node) {
-		for _, n := range nodes {
-			n.KillNode()
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, n := range nodes {
-			n.StartNode()
-		}
-	}
 	down := platform.Faults{Down: true}
 	cases := []struct {
 		name string
