The first restore of a store whose epochs begin at zero is noticed

Found by reading the change: the rows of a node were written again, and StoreRestored recorded, only if the epoch before was not zero, which stood for "none read yet". Now a missing epoch is told from zero.

--- a/runner/epoch.go
+++ b/runner/epoch.go
@@ -19,12 +19,12 @@
 // followEpoch is called with the epoch of each configuration that was read. If the table service has come back from a copy
 // since the last call, it records that and writes again what this node wrote last.
 func (r *Runner) followEpoch(ctx context.Context, epoch uint64) {
-	previous := r.epoch.Swap(epoch)
-	if previous == epoch || previous == 0 {
+	previous := r.epoch.Swap(&epoch)
+	if previous == nil || *previous == epoch {
 		return
 	}
 	r.meter.CountRestore()
-	r.record(eelgrasspoint.EventStoreRestored, fmt.Sprintf("epoch %d, epoch %d before: what was written in the last seconds before may be gone", epoch, previous))
+	r.record(eelgrasspoint.EventStoreRestored, fmt.Sprintf("epoch %d, epoch %d before: what was written in the last seconds before may be gone", epoch, *previous))
 	go r.rewriteRows(ctx)
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -72,8 +72,8 @@
 	servers         servers
 
 	storeIsDown atomic.Bool
-	// epoch is that of the configuration that was read last from the table service.
-	epoch atomic.Uint64
+	// epoch is that of the configuration that was read last from the table service, nil before the first one.
+	epoch atomic.Pointer[uint64]
 	// memberRowAt is when the row of this node was written last, in nanoseconds since 1970.
 	memberRowAt atomic.Int64
 	abortOnce   sync.Once
--- a/runner/source.go
+++ b/runner/source.go
@@ -75,8 +75,8 @@
 		if configuration.Revision > 0 {
 			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
 			r.controller.WaitApplied()
+			r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
 		}
-		r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
 	}
 }
 
