A held body that is cut short is not sent

Cause, found by reading: io.ReadFull returns the same error for a body that ends within a part and for one that its caller cut short. A held body in chunks that was cut short was taken for one that is too long to hold, so that its beginning reached the server before the request failed (502 in place of a refusal as not run).

Change: the parts are read with the error of the source. TestHeldBodyThatIsCutShortIsNotSent.

--- a/coordination/executor/identity.go
+++ b/coordination/executor/identity.go
@@ -139,11 +139,10 @@
 func readHeld(body *identifiedBody) ([]byte, error) {
 	var held []byte
 	for body.identity.reserve(holdPartBytes) {
-		part := make([]byte, holdPartBytes)
-		n, err := io.ReadFull(body, part)
-		held = append(held, part[:n]...)
+		part, err := readPart(body)
+		held = append(held, part...)
 		switch {
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			return held, body.endError()
 		case err != nil:
 			return nil, err
@@ -152,6 +151,21 @@
 	return held, nil
 }
 
+// readPart reads holdPartBytes, or less if the error says why. Unlike io.ReadFull, it returns the error of the source: a body
+// that was cut short is no complete one.
+func readPart(source io.Reader) ([]byte, error) {
+	part := make([]byte, holdPartBytes)
+	read := 0
+	for read < len(part) {
+		n, err := source.Read(part[read:])
+		read += n
+		if err != nil {
+			return part[:read], err
+		}
+	}
+	return part, nil
+}
+
 // identifiedBody computes the fingerprint of a request while its body is read.
 type identifiedBody struct {
 	source io.ReadCloser
--- a/coordination/executor/identity_test.go
+++ b/coordination/executor/identity_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -160,3 +161,18 @@
 	assert.Equal(t, outcome.Reason, eelgrasspoint.DeadlinePassed)
 	assert.Assert(t, pay(t, e, backend, []byte("other"), true) == nil, "the slot is not free again")
 }
+
+// TestHeldBodyThatIsCutShortIsNotSent guards against a part of a body that reaches the server as if it were sent on.
+func TestHeldBodyThatIsCutShortIsNotSent(t *testing.T) {
+	server := &crashingServer{crashing: []byte("crash")}
+	e, address := newCrashableExecutor(t, server)
+	backend := &eelgrasspoint.BackendServer{Service: "s", Address: address, Incarnation: 1, Slots: 4, Connections: 4}
+	announce(e, *backend)
+	_ = pay(t, e, backend, server.crashing, true)
+	attempt := openAttempt(nil, -1)
+	attempt.Body = io.NopCloser(io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	_, err := e.RoundTrip(t.Context(), nil, attempt)
+	outcome := eelgrasspoint.AsOutcome(err)
+	assert.Equal(t, outcome.Outcome, eelgrasspoint.NotRun)
+	assert.Equal(t, outcome.Reason, eelgrasspoint.BodyCutShort)
+}
