Configurations are fetched from nodes of the same revision only if they differ

Change: a node with a lower revision fetches and reconciles first; it then has the same revision, and only then a differing digest is news.

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -62,7 +62,7 @@
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
 	e.mergeMembers(request)
 	view := e.options.Controller.View()
-	if request.GetRevision() > view.Revision || e.options.Controller.Configuration().DiffersFrom(request.GetStateDigest()) {
+	if e.options.Controller.Configuration().HasNews(request.GetRevision(), request.GetStateDigest()) {
 		e.pullFrom(view, request)
 	}
 	updates := e.updatesFor(view, request)
@@ -113,11 +113,13 @@
 	}
 }
 
-// Configuration returns the configuration in force if its revision is higher than AfterRevision or its state another
-// one than the caller's, and an empty response otherwise.
+// Configuration returns the configuration in force if its revision is higher than AfterRevision, or the same with another
+// state than the caller's, and an empty response otherwise.
 func (e *Exchanger) Configuration(_ context.Context, request *schema.ConfigurationRequest) (*schema.GetResponse, error) {
 	configuration := e.options.Controller.Configuration()
-	if request.GetAfterRevision() >= configuration.Revision && !configuration.DiffersFrom(request.GetStateDigest()) {
+	later := configuration.Revision > request.GetAfterRevision()
+	another := configuration.Revision == request.GetAfterRevision() && configuration.StateDigest() != request.GetStateDigest()
+	if !later && !another {
 		return &schema.GetResponse{}, nil
 	}
 	return translator.ConfigurationMessage(configuration), nil
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -48,7 +48,7 @@
 // New returns a fetcher.
 func New(options Options) *Fetcher { return &Fetcher{options: options} }
 
-// Fetch fetches the configuration of a member if its revision is higher than after or its state differs, unless a revision
+// Fetch fetches the configuration of a member if it has news, unless a revision
 // higher than after is in force. It waits until
 // the configuration is in force, the fetch fails, or ctx ends. The fetch goes on when ctx ends, because
 // later requests need the configuration, too.
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -181,7 +181,7 @@
 		o.options.Tracker.Acknowledge(m.Name, members)
 		o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	}
-	if response.GetRevision() > view.Revision || differ(response.GetStateDigest(), view.StateDigest) {
+	if o.options.Controller.Configuration().HasNews(response.GetRevision(), response.GetStateDigest()) {
 		o.options.Fetch(ctx, m, view.Revision)
 	}
 	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -78,12 +78,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.peerState(name)
-	return p.revision < view.Revision || differ(p.stateDigest, view.StateDigest)
+	return p.revision < view.Revision || p.revision == view.Revision && p.stateDigest != 0 && p.stateDigest != view.StateDigest
 }
 
-// differ reports whether the digest of a member's configuration is another one than the own digest. Zero differs from none.
-func differ(digest, own uint64) bool { return digest != 0 && digest != own }
-
 func (o *Observer) setRevision(name string, revision, stateDigest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/protocol/schema/eelgrass.twirp.go
+++ b/protocol/schema/eelgrass.twirp.go
@@ -1935,8 +1935,8 @@
 	// Converse exchanges heartbeats, recent membership updates (News), load hints and configuration revisions.
 	Converse(context.Context, *ConverseRequest) (*ConverseResponse, error)
 
-	// Configuration returns the configuration in force if its revision is above AfterRevision, or its state is another one
-	// than StateDigest.
+	// Configuration returns the configuration in force if its revision is above AfterRevision, or the same and its state
+	// another one than StateDigest.
 	Configuration(context.Context, *ConfigurationRequest) (*GetResponse, error)
 
 	// Members returns the members in the buckets whose digests differ (anti-entropy).
--- a/reconciliation.go
+++ b/reconciliation.go
@@ -78,8 +78,12 @@
 	return hash.Sum64()
 }
 
-// DiffersFrom reports whether a digest that another node sent is that of another state. Zero is that of a node that does not
-// know the operators' number, or sends no digest, and differs from none.
-func (c *Configuration) DiffersFrom(digest uint64) bool {
+// HasNews reports whether a node with the revision and the digest has something that c lacks. One with a lower revision
+// reconciles first, and has the same revision then. A digest of zero is that of a node that does not know the operators'
+// number, or sends none, and is no news.
+func (c *Configuration) HasNews(revision, digest uint64) bool {
+	if revision != c.Revision {
+		return revision > c.Revision
+	}
 	return digest != 0 && digest != c.StateDigest()
 }
