--- a/cmd/eelgrassctl/console.go
+++ b/cmd/eelgrassctl/console.go
@@ -13,6 +13,7 @@
 	"github.com/kataras/iris/v12"
 
 	"eelgrasspoint/protocol/schema"
+	"eelgrasspoint/protocol/translator"
 )
 
 //go:embed console.html
@@ -70,7 +71,7 @@
 // pageState is the JSON body of /state.
 type pageState struct {
 	Node        string
-	Revision    uint64
+	Revision    string
 	Zones       []pageZone
 	Nodes       []pageNode
 	Events      []pageEvent
@@ -94,7 +95,7 @@
 }
 
 func newPageState(status *schema.StatusResponse, timeline *schema.TimelineResponse) pageState {
-	page := pageState{Node: status.GetNode(), Revision: status.GetRevision(), Unreachable: timeline.GetUnreachable()}
+	page := pageState{Node: status.GetNode(), Revision: translator.Revision(status.GetRevision(), status.GetLargeRevision()).String(), Unreachable: timeline.GetUnreachable()}
 	for _, z := range status.GetAvailabilityZones() {
 		page.Zones = append(page.Zones, pageZone{Name: z.GetName(), Region: z.GetRegion(), OutOfService: z.GetOutOfService()})
 	}
--- a/cmd/eelgrassctl/show.go
+++ b/cmd/eelgrassctl/show.go
@@ -27,7 +27,7 @@
 	if s.json() {
 		return s.printMessage(response)
 	}
-	fmt.Fprintf(s.out, "revision %d\n", response.GetRevision())
+	fmt.Fprintf(s.out, "revision %v\n", translator.Revision(response.GetRevision(), response.GetLargeRevision()))
 	return s.printMessage(response.GetConfiguration())
 }
 
@@ -98,7 +98,7 @@
 	if s.json() {
 		return s.printMessage(response)
 	}
-	fmt.Fprintf(s.out, "node %s, revision %d\n\n", response.GetNode(), response.GetRevision())
+	fmt.Fprintf(s.out, "node %s, revision %v\n\n", response.GetNode(), translator.Revision(response.GetRevision(), response.GetLargeRevision()))
 	s.printTable(zoneRows(response))
 	fmt.Fprintln(s.out)
 	s.printTable(nodeRows(response))
@@ -178,7 +178,8 @@
 	}
 	rows := [][]string{{"NODE", "REVISION", "ERROR"}}
 	for _, node := range response.GetNodes() {
-		rows = append(rows, []string{node.GetNode(), strconv.FormatUint(node.GetRevision(), 10), node.GetError()})
+		revision := translator.Revision(node.GetRevision(), node.GetLargeRevision())
+		rows = append(rows, []string{node.GetNode(), revision.String(), node.GetError()})
 	}
 	s.printTable(rows)
 	return exitOK
--- a/cmd/eelgrassctl/show_test.go
+++ b/cmd/eelgrassctl/show_test.go
@@ -20,7 +20,7 @@
 }
 
 func (f fakeOperators) Status(context.Context, *schema.StatusRequest) (*schema.StatusResponse, error) {
-	return &schema.StatusResponse{Node: "n", Revision: f.configuration.Revision}, nil
+	return &schema.StatusResponse{Node: "n", Revision: f.configuration.Revision.Version}, nil
 }
 
 func (f fakeOperators) Get(context.Context, *schema.GetRequest) (*schema.GetResponse, error) {
@@ -32,7 +32,7 @@
 func TestStatusListsRefusedRoutes(t *testing.T) {
 	var out bytes.Buffer
 	s := &session{options: &options{}, out: &out, errors: &out, client: fakeOperators{configuration: eelgrasspoint.Configuration{
-		Revision: 7, Document: eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+		Revision: eelgrasspoint.Revision{Version: 7}, Document: eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
 			{Name: "read", PathPrefix: "/read", Service: "s"},
 			{Name: "unread", Host: "h.example", PathPrefix: "/unread/"},
 		}},
--- a/configuration.go
+++ b/configuration.go
@@ -18,7 +18,7 @@
 	Region       string
 	OutOfService bool
 	// ChangedAt is the revision of the latest change of OutOfService, or zero if none is known.
-	ChangedAt uint64
+	ChangedAt Revision
 }
 
 // Service describes a group of interchangeable backend servers. Only Name is required.
@@ -152,7 +152,7 @@
 
 // Configuration is an immutable document with its revision.
 type Configuration struct {
-	Revision uint64
+	Revision Revision
 	// Version is the number that the operators gave the document, or zero if it is unknown.
 	Version    uint64
 	Document   Document
--- a/coordination/committer/committer.go
+++ b/coordination/committer/committer.go
@@ -60,8 +60,8 @@
 	if found := base.AcceptedRevision(proposal.ChangeID); found != 0 {
 		return found, nil
 	}
-	revision := base.Configuration.Revision
-	if inForce := c.options.Controller.View().Revision; inForce > revision {
+	revision := base.Configuration.Revision.Version
+	if inForce := c.options.Controller.View().Revision.Version; inForce > revision {
 		// The read was stale: this node already has a later revision. A change must not be based on a
 		// stale configuration.
 		return 0, &eelgrasspoint.RevisionConflictError{Expected: revision, Winner: inForce}
@@ -80,7 +80,7 @@
 		return 0, err
 	}
 	c.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{
-		Revision: revision + 1, Document: next, Provenance: eelgrasspoint.Provenance{Origin: eelgrasspoint.OwnChange},
+		Revision: eelgrasspoint.Revision{Version: revision + 1}, Document: next, Provenance: eelgrasspoint.Provenance{Origin: eelgrasspoint.OwnChange},
 	}})
 	return revision + 1, nil
 }
@@ -115,7 +115,7 @@
 		return err
 	}
 	// Winner is exact only if the read succeeds. Otherwise, the revision in force is at least the next one.
-	conflictErr := &eelgrasspoint.RevisionConflictError{Expected: base.Configuration.Revision, Winner: base.Configuration.Revision + 1}
+	conflictErr := &eelgrasspoint.RevisionConflictError{Expected: base.Configuration.Revision.Version, Winner: base.Configuration.Revision.Version + 1}
 	current, readErr := c.options.Publisher.Read(ctx)
 	switch {
 	case readErr != nil && repeated:
@@ -125,7 +125,7 @@
 	case repeated && current.AcceptedRevision(changeID) != 0:
 		return nil
 	}
-	conflictErr.Winner = current.Configuration.Revision
+	conflictErr.Winner = current.Configuration.Revision.Version
 	return conflictErr
 }
 
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -31,7 +31,7 @@
 	if origin != eelgrasspoint.StoreFeed && origin != eelgrasspoint.StoreScan {
 		return false
 	}
-	if r.Configuration.Revision == 0 || r.Configuration.Revision != inForce.Revision || r.Configuration.Version < inForce.Version {
+	if r.Configuration.Revision.IsZero() || r.Configuration.Revision != inForce.Revision || r.Configuration.Version < inForce.Version {
 		return false
 	}
 	reread := r.withZonesOf(inForce)
@@ -71,14 +71,14 @@
 	if provenance.Node != "" {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "From", Value: provenance.Node})
 	}
-	if epoch := eelgrasspoint.Epoch(c.configuration.Revision); epoch != 0 {
+	if epoch := c.configuration.Revision.Epoch; epoch != 0 {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "Epoch", Value: epoch})
 	}
 	if c.configuration.Version != 0 {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: c.configuration.Version})
 	}
 	c.options.Recorder.Record(eelgrasspoint.Event{
-		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + eelgrasspoint.FormatRevision(c.configuration.Revision), Inputs: inputs,
+		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + c.configuration.Revision.String(), Inputs: inputs,
 	})
 }
 
--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -47,7 +47,7 @@
 			drawCommand(t).apply(c)
 			c.publish()
 			checkView(t, before, c.View())
-			if got := h.Load().Configuration.Revision; got < revision {
+			if got := h.Load().Configuration.Revision; got.Before(revision) {
 				t.Fatalf("revision went back from %d to %d", revision, got)
 			}
 		}
@@ -61,7 +61,7 @@
 	case 1:
 		return MarkFailed{Member: drawMember(t)}
 	default:
-		return ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: rapid.Uint64Range(0, 9).Draw(t, "revision")}}
+		return ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: rapid.Uint64Range(0, 9).Draw(t, "revision")}}}
 	}
 }
 
--- a/coordination/controller/provenance_test.go
+++ b/coordination/controller/provenance_test.go
@@ -21,7 +21,7 @@
 	c.options.Recorder = events
 	document := eelgrasspoint.Document{Services: []eelgrasspoint.Service{{Name: "s"}}}
 	ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{
-		Revision: 7, Document: document,
+		Revision: eelgrasspoint.Revision{Version: 7}, Document: document,
 		Provenance: eelgrasspoint.Provenance{Origin: eelgrasspoint.OtherNode, Node: "a", Took: 40 * time.Millisecond},
 	}}.apply(c)
 	recorded := events.Events(time.Time{})
--- a/coordination/controller/reading_test.go
+++ b/coordination/controller/reading_test.go
@@ -36,6 +36,6 @@
 
 func replace(c *Controller, revision uint64, document eelgrasspoint.Document, origin eelgrasspoint.Origin) {
 	ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{
-		Revision: revision, Document: document, Provenance: eelgrasspoint.Provenance{Origin: origin},
+		Revision: eelgrasspoint.Revision{Version: revision}, Document: document, Provenance: eelgrasspoint.Provenance{Origin: origin},
 	}}.apply(c)
 }
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -38,7 +38,7 @@
 	// Clock is the local clock, by which intervals are measured.
 	Clock eelgrasspoint.Clock
 	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting.
-	StartFetch func(m eelgrasspoint.Member, after uint64)
+	StartFetch func(m eelgrasspoint.Member, after eelgrasspoint.Revision)
 	// Events returns the recorded events that match the request.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
@@ -62,13 +62,16 @@
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
 	e.mergeMembers(request)
 	view := e.options.Controller.View()
-	if e.options.Controller.Configuration().HasNews(request.GetRevision(), request.GetStateDigest()) {
+	theirs := translator.Revision(request.GetRevision(), request.GetLargeRevision())
+	if e.options.Controller.Configuration().HasNews(theirs, request.GetStateDigest()) {
 		e.pullFrom(view, request)
 	}
 	updates := e.updatesFor(view, request)
+	revision, large := translator.RevisionMessage(view.Revision)
 	return &schema.ConverseResponse{
 		From:             view.Self.Name,
-		Revision:         view.Revision,
+		Revision:         revision,
+		LargeRevision:    large,
 		StateDigest:      view.StateDigest,
 		QuarantineDigest: e.options.Quarantiner.Digest(view.Self.Region, request.GetRegion()),
 		Digest:           view.Digest,
@@ -117,8 +120,9 @@
 // state than the caller's, and an empty response otherwise.
 func (e *Exchanger) Configuration(_ context.Context, request *schema.ConfigurationRequest) (*schema.GetResponse, error) {
 	configuration := e.options.Controller.Configuration()
-	later := configuration.Revision > request.GetAfterRevision()
-	another := configuration.Revision == request.GetAfterRevision() && configuration.StateDigest() != request.GetStateDigest()
+	after := translator.Revision(request.GetAfterRevision(), request.GetLargeAfterRevision())
+	later := configuration.Revision.After(after)
+	another := configuration.Revision == after && configuration.StateDigest() != request.GetStateDigest()
 	if !later && !another {
 		return &schema.GetResponse{}, nil
 	}
--- a/coordination/executor/endless_test.go
+++ b/coordination/executor/endless_test.go
@@ -40,7 +40,7 @@
 	e := executor.New(executor.Options{
 		Holder: holder.New(&eelgrasspoint.Snapshot{
 			Self:          eelgrasspoint.Member{Name: "n", Region: "r"},
-			Configuration: &eelgrasspoint.Configuration{Revision: 1},
+			Configuration: &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 1}},
 		}),
 		Admitter: admitter.New(limiter.NewFixed(64), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
--- a/coordination/executor/events.go
+++ b/coordination/executor/events.go
@@ -22,7 +22,7 @@
 		{Name: "Limit", Value: load.Limit},
 		{Name: "Queued", Value: load.Queued},
 		{Name: "LeftMilliseconds", Value: eelgrasspoint.Remaining(meta.Deadline, e.options.Clock()).Milliseconds()},
-		{Name: "Revision", Value: snapshot.Configuration.Revision},
+		{Name: "Revision", Value: snapshot.Configuration.Revision.String()},
 	}
 	if !report.receivedAt.IsZero() {
 		inputs = append(inputs,
--- a/coordination/executor/executor_test.go
+++ b/coordination/executor/executor_test.go
@@ -97,7 +97,7 @@
 	events := recorder.New("n", time.Now, log)
 	h := holder.New(&eelgrasspoint.Snapshot{
 		Self: eelgrasspoint.Member{Name: "n", Region: "r"},
-		Configuration: &eelgrasspoint.Configuration{Revision: 1, Document: eelgrasspoint.Document{
+		Configuration: &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 1}, Document: eelgrasspoint.Document{
 			Services: []eelgrasspoint.Service{{Name: "s", HealthPath: "/health"}},
 		}},
 	})
--- a/coordination/executor/panic_test.go
+++ b/coordination/executor/panic_test.go
@@ -39,7 +39,7 @@
 	log.SetOutput(io.Discard)
 	e := executor.New(executor.Options{
 		Holder: holder.New(&eelgrasspoint.Snapshot{
-			Self: eelgrasspoint.Member{Name: "n", Region: "r"}, Configuration: &eelgrasspoint.Configuration{Revision: 1},
+			Self: eelgrasspoint.Member{Name: "n", Region: "r"}, Configuration: &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 1}},
 		}),
 		Admitter: admitter.New(limiter.NewFixed(4), time.Now), Quarantiner: quarantiner.New(time.Now),
 		Recorder: recorder.New("n", time.Now, log), Clock: time.Now, Dial: (&net.Dialer{}).DialContext,
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -52,8 +52,8 @@
 // higher than after is in force. It waits until
 // the configuration is in force, the fetch fails, or ctx ends. The fetch goes on when ctx ends, because
 // later requests need the configuration, too.
-func (f *Fetcher) Fetch(ctx context.Context, m eelgrasspoint.Member, after uint64) {
-	for f.options.Controller.Configuration().Revision <= after {
+func (f *Fetcher) Fetch(ctx context.Context, m eelgrasspoint.Member, after eelgrasspoint.Revision) {
+	for !f.options.Controller.Configuration().Revision.After(after) {
 		current, started := f.startOrJoin(m, after)
 		select {
 		case <-current.done:
@@ -67,8 +67,8 @@
 }
 
 // Start fetches the configuration of a member without waiting for it.
-func (f *Fetcher) Start(m eelgrasspoint.Member, after uint64) {
-	if f.options.Controller.Configuration().Revision <= after {
+func (f *Fetcher) Start(m eelgrasspoint.Member, after eelgrasspoint.Revision) {
+	if !f.options.Controller.Configuration().Revision.After(after) {
 		f.startOrJoin(m, after)
 	}
 }
@@ -79,7 +79,7 @@
 
 // startOrJoin returns the running fetch from the member. If there is none, it starts one, or returns the one that
 // started last if there are maxPromptFetches.
-func (f *Fetcher) startOrJoin(m eelgrasspoint.Member, after uint64) (current *fetch, started bool) {
+func (f *Fetcher) startOrJoin(m eelgrasspoint.Member, after eelgrasspoint.Revision) (current *fetch, started bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
@@ -109,14 +109,15 @@
 	close(ended.done)
 }
 
-func (f *Fetcher) run(current *fetch, m eelgrasspoint.Member, after uint64) {
+func (f *Fetcher) run(current *fetch, m eelgrasspoint.Member, after eelgrasspoint.Revision) {
 	defer f.end(current)
 	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.ConfigurationTimeout)
 	defer cancel()
 	f.options.Meter.CountExchange("Configuration")
 	client := schema.NewExchangeProtobufClient("http://"+m.PeerAddress.String(), f.options.Client)
+	packed, large := translator.RevisionMessage(after)
 	response, err := client.Configuration(ctx, &schema.ConfigurationRequest{
-		AfterRevision: after, StateDigest: f.options.Controller.Configuration().StateDigest(),
+		AfterRevision: packed, LargeAfterRevision: large, StateDigest: f.options.Controller.Configuration().StateDigest(),
 	})
 	if err != nil {
 		f.recordFailure(m, after, err)
@@ -133,9 +134,9 @@
 	f.options.Controller.WaitApplied()
 }
 
-func (f *Fetcher) recordFailure(m eelgrasspoint.Member, after uint64, err error) {
+func (f *Fetcher) recordFailure(m eelgrasspoint.Member, after eelgrasspoint.Revision, err error) {
 	f.options.Recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventConfigurationNotFetched, AvailabilityZone: m.AvailabilityZone,
-		Detail: fmt.Sprintf("from %s at %v, later than revision %d: %v", m.Name, m.PeerAddress, after, err),
+		Detail: fmt.Sprintf("from %s at %v, later than revision %v: %v", m.Name, m.PeerAddress, after, err),
 	})
 }
--- a/coordination/fetcher/fetcher_test.go
+++ b/coordination/fetcher/fetcher_test.go
@@ -79,7 +79,7 @@
 			SetBackend: func(*eelgrasspoint.BackendServer) {},
 		})
 		go c.Run(ctx)
-		c.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: 1}})
+		c.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 1}}})
 		c.WaitApplied()
 		check(t, fixture{controller: c, fetcher: fetcher.New(fetcher.Options{
 			Controller: c, Client: &http.Client{Transport: members}, Recorder: r, Clock: time.Now,
@@ -98,11 +98,11 @@
 func TestSilentMemberHoldsUpNoOther(t *testing.T) {
 	members := network{"10.0.0.1:1": {delay: time.Hour}, "10.0.0.2:1": {revision: 2}}
 	withFetcher(t, members, func(t *testing.T, f fixture) {
-		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), eelgrasspoint.Revision{Version: 1})
 		time.Sleep(10 * time.Millisecond)
 		start := time.Now()
-		f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), 1)
-		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+		f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), eelgrasspoint.Revision{Version: 1})
+		assert.Equal(t, f.controller.Configuration().Revision.Version, uint64(2))
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
@@ -117,12 +117,12 @@
 			group.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), eelgrasspoint.HeartbeatTimeout)
 				defer cancel()
-				f.fetcher.Fetch(ctx, at("10.0.0.1:1"), 1)
+				f.fetcher.Fetch(ctx, at("10.0.0.1:1"), eelgrasspoint.Revision{Version: 1})
 			})
 		}
 		group.Wait()
-		f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
-		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+		f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), eelgrasspoint.Revision{Version: 1})
+		assert.Equal(t, f.controller.Configuration().Revision.Version, uint64(2))
 		assert.Equal(t, members["10.0.0.1:1"].calls.Load(), int32(1))
 	})
 }
@@ -132,15 +132,15 @@
 func TestFewMembersAreAskedAtOnce(t *testing.T) {
 	members := network{"10.0.0.1:1": {delay: time.Hour}, "10.0.0.2:1": {delay: time.Hour}, "10.0.0.3:1": {revision: 2}}
 	withFetcher(t, members, func(t *testing.T, f fixture) {
-		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), 1)
-		go f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), 1)
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.1:1"), eelgrasspoint.Revision{Version: 1})
+		go f.fetcher.Fetch(t.Context(), at("10.0.0.2:1"), eelgrasspoint.Revision{Version: 1})
 		time.Sleep(10 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		f.fetcher.Fetch(ctx, at("10.0.0.3:1"), 1)
+		f.fetcher.Fetch(ctx, at("10.0.0.3:1"), eelgrasspoint.Revision{Version: 1})
 		assert.Equal(t, members["10.0.0.3:1"].calls.Load(), int32(0))
 		time.Sleep(eelgrasspoint.HeartbeatTimeout)
-		f.fetcher.Fetch(t.Context(), at("10.0.0.3:1"), 1)
-		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
+		f.fetcher.Fetch(t.Context(), at("10.0.0.3:1"), eelgrasspoint.Revision{Version: 1})
+		assert.Equal(t, f.controller.Configuration().Revision.Version, uint64(2))
 	})
 }
--- a/coordination/forwarder/entry_test.go
+++ b/coordination/forwarder/entry_test.go
@@ -97,7 +97,7 @@
 	holder  *holder.Holder
 	nodes   map[string]attemptFunc
 	// fetch is called when the node fetches a newer configuration.
-	fetch       func(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64)
+	fetch       func(ctx context.Context, from *eelgrasspoint.Candidate, revision eelgrasspoint.Revision)
 	fetchedFrom []string
 
 	mu       sync.Mutex
@@ -115,7 +115,7 @@
 		Holder: e.holder, Chooser: e, Retrier: retrier.New(retrier.DefaultLimits()),
 		Link: budgeter.New(eelgrasspoint.LinkBytesPerSecond, time.Now), Peers: e, Local: e,
 		Meter: meter.New(meter.Source{
-			Load: noLoad, Revision: func() uint64 { return 0 }, Members: func() int { return 0 }, RefusedRoutes: func() int { return 0 },
+			Load: noLoad, Revision: func() eelgrasspoint.Revision { return eelgrasspoint.Revision{} }, Members: func() int { return 0 }, RefusedRoutes: func() int { return 0 },
 			ControlBytes: func() (int64, int64) { return 0, 0 },
 		}),
 		Recorder: e, Clock: time.Now, Random: eelgrasspoint.NewRandom(1), MaxBodyBytes: 1 << 20,
@@ -131,7 +131,7 @@
 		route.Service = service
 	}
 	configuration := &eelgrasspoint.Configuration{
-		Revision: revision, Document: eelgrasspoint.Document{Routes: []eelgrasspoint.Route{*route}},
+		Revision: eelgrasspoint.Revision{Version: revision}, Document: eelgrasspoint.Document{Routes: []eelgrasspoint.Route{*route}},
 	}
 	var candidates []*eelgrasspoint.Candidate
 	for name := range e.nodes {
@@ -177,7 +177,7 @@
 	e.events = append(e.events, event)
 }
 
-func (e *entry) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64) {
+func (e *entry) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, revision eelgrasspoint.Revision) {
 	e.fetchedFrom = append(e.fetchedFrom, from.Node)
 	e.fetch(ctx, from, revision)
 }
--- a/coordination/forwarder/events.go
+++ b/coordination/forwarder/events.go
@@ -16,7 +16,7 @@
 		AvailabilityZone: p.self.AvailabilityZone, Detail: detail, Permitted: p.meta.Permitted,
 		Inputs: append(inputs,
 			eelgrasspoint.Input{Name: "Route", Value: p.meta.Route},
-			eelgrasspoint.Input{Name: "Revision", Value: p.meta.Revision},
+			eelgrasspoint.Input{Name: "Revision", Value: p.meta.Revision.String()},
 			eelgrasspoint.Input{Name: "Attempts", Value: p.attempts},
 			eelgrasspoint.Input{Name: "Arrivals", Value: p.deliveredAttempts.Load()}),
 	})
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -49,7 +49,7 @@
 	Stopping func() bool
 	// Fetch fetches the configuration from the candidate's node if the revision there is higher than the
 	// given one.
-	Fetch    func(ctx context.Context, from *eelgrasspoint.Candidate, revision uint64)
+	Fetch    func(ctx context.Context, from *eelgrasspoint.Candidate, revision eelgrasspoint.Revision)
 	Contract eelgrasspoint.Contract
 	// Service is the service of the backend server beside the node.
 	Service string
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -59,7 +59,7 @@
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
 	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
-	if p.matchedRoute == nil && p.snapshot.Configuration.Revision == 0 {
+	if p.matchedRoute == nil && p.snapshot.Configuration.Revision.IsZero() {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
 	if p.matchedRoute == nil {
@@ -143,7 +143,7 @@
 // hasNewerRevision reloads the snapshot and reports whether its revision is newer than the request's.
 func (p *proxiedRequest) hasNewerRevision() bool {
 	p.snapshot = p.forwarder.Holder.Load()
-	return p.snapshot.Configuration.Revision > p.meta.Revision
+	return p.snapshot.Configuration.Revision.After(p.meta.Revision)
 }
 
 // fetchConfiguration fetches the configuration from the candidate's node, at most once per request.
--- a/coordination/forwarder/stale_test.go
+++ b/coordination/forwarder/stale_test.go
@@ -17,7 +17,7 @@
 )
 
 // fetchNothing is a fetch that brings no configuration.
-func fetchNothing(context.Context, *eelgrasspoint.Candidate, uint64) {}
+func fetchNothing(context.Context, *eelgrasspoint.Candidate, eelgrasspoint.Revision) {}
 
 // TestStaleRouteWithoutNewerConfiguration guards against a request that ends without an answer because its
 // attempt was refused as StaleRoute and the fetch brought no newer configuration.
@@ -63,7 +63,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const limit = 400 * time.Millisecond
 				e := newEntry(&eelgrasspoint.Route{TimeLimit: limit}, c.nodes)
-				e.fetch = func(ctx context.Context, _ *eelgrasspoint.Candidate, _ uint64) { <-ctx.Done() }
+				e.fetch = func(ctx context.Context, _ *eelgrasspoint.Candidate, _ eelgrasspoint.Revision) { <-ctx.Done() }
 				began := time.Now()
 				got := e.send()
 				assert.Equal(t, got.status, c.status)
@@ -162,7 +162,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				e := newEntry(&c.before, c.nodes)
-				e.fetch = func(context.Context, *eelgrasspoint.Candidate, uint64) {
+				e.fetch = func(context.Context, *eelgrasspoint.Candidate, eelgrasspoint.Revision) {
 					time.Sleep(10 * time.Millisecond)
 					e.publish(2, &c.after)
 				}
@@ -178,7 +178,7 @@
 					assert.Equal(t, last.meta.Deadline.Sub(start), c.timeLimit)
 				}
 				if got.status == http.StatusOK {
-					assert.Equal(t, last.meta.Revision, uint64(2))
+					assert.Equal(t, last.meta.Revision.Version, uint64(2))
 					assert.Equal(t, last.meta.Service, c.after.Service)
 					assert.Equal(t, last.meta.Kind, c.after.Kind)
 					assert.Equal(t, last.meta.Weight, c.after.Weight)
--- a/coordination/forwarder/unreadable_test.go
+++ b/coordination/forwarder/unreadable_test.go
@@ -18,7 +18,7 @@
 		{Name: "all", PathPrefix: "/", Service: service}, {Name: "unreadable", PathPrefix: "/1"},
 	}}
 	snapshot := *e.holder.Load()
-	snapshot.Configuration = &eelgrasspoint.Configuration{Revision: 2, Document: document}
+	snapshot.Configuration = &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 2}, Document: document}
 	snapshot.Router = router.New(&document)
 	e.holder.Publish(&snapshot)
 	result := e.send()
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -43,7 +43,7 @@
 	DeadClient *http.Client
 	Recorder   eelgrasspoint.Recorder
 	// Fetch fetches the configuration of a member if its revision is higher than after.
-	Fetch func(ctx context.Context, m eelgrasspoint.Member, after uint64)
+	Fetch func(ctx context.Context, m eelgrasspoint.Member, after eelgrasspoint.Revision)
 	// Witness advances the event clock past the time of a peer's event clock.
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
@@ -76,7 +76,8 @@
 	// quarantinesAt is when the quarantines were last exchanged with the member.
 	quarantinesAt time.Time
 	// revision and stateDigest are those of the member's configuration when it last answered.
-	revision, stateDigest uint64
+	revision    eelgrasspoint.Revision
+	stateDigest uint64
 }
 
 // flushDelay is how long flushAfterDelay waits for further updates.
@@ -175,16 +176,17 @@
 		return err
 	}
 	o.options.Tracker.Acknowledge(m.Name, updates)
-	o.setRevision(m.Name, response.GetRevision(), response.GetStateDigest())
+	revision := translator.Revision(response.GetRevision(), response.GetLargeRevision())
+	o.setRevision(m.Name, revision, response.GetStateDigest())
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
 	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
 		o.options.Tracker.Acknowledge(m.Name, members)
 		o.options.Controller.Submit(controller.MergeMembers{Members: members})
 	}
-	if o.options.Controller.Configuration().HasNews(response.GetRevision(), response.GetStateDigest()) {
+	if o.options.Controller.Configuration().HasNews(revision, response.GetStateDigest()) {
 		o.options.Fetch(ctx, m, view.Revision)
 	}
-	if o.setLagging(m.Name, response.GetRevision() < view.Revision) {
+	if o.setLagging(m.Name, revision.Before(view.Revision)) {
 		// The member fetches the newer configuration only from a node whose entry it has. The second
 		// request carries this node's entry, because the member is now marked as lagging. Without its answer, the
 		// member is not silent: it has answered the first.
@@ -206,10 +208,12 @@
 
 // request returns the heartbeat to a member.
 func (o *Observer) request(view *eelgrasspoint.MembershipView, to eelgrasspoint.Member, updates []eelgrasspoint.Member) *schema.ConverseRequest {
+	revision, large := translator.RevisionMessage(view.Revision)
 	return &schema.ConverseRequest{
 		Cluster:          o.options.Cluster,
 		From:             view.Self.Name,
-		Revision:         view.Revision,
+		Revision:         revision,
+		LargeRevision:    large,
 		StateDigest:      view.StateDigest,
 		QuarantineDigest: o.options.Quarantiner.Digest(view.Self.Region, to.Region),
 		Region:           view.Self.Region,
--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -52,12 +52,12 @@
 		SetBackend: func(*eelgrasspoint.BackendServer) {},
 	})
 	go c.Run(t.Context())
-	c.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: 7}})
+	c.Submit(controller.ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 7}}})
 	c.WaitApplied()
 	o := New(Options{
 		Controller: c, Client: http.DefaultClient, Recorder: events, Witness: events.AdvanceClock, Now: events.Now,
 		Meter: meter.New(meter.Source{}), Clock: time.Now, Tracker: tracker.New(), Refreshed: func(time.Time) {},
-		Fetch: func(context.Context, eelgrasspoint.Member, uint64) {}, Quarantiner: quarantiner.New(time.Now),
+		Fetch: func(context.Context, eelgrasspoint.Member, eelgrasspoint.Revision) {}, Quarantiner: quarantiner.New(time.Now),
 	})
 	member := eelgrasspoint.Member{Name: "peer", Region: "r", PeerAddress: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
 	assert.NilError(t, o.sendHeartbeat(t.Context(), c.View(), member))
--- a/coordination/observer/peer.go
+++ b/coordination/observer/peer.go
@@ -78,10 +78,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.peerState(name)
-	return p.revision < view.Revision || p.revision == view.Revision && p.stateDigest != 0 && p.stateDigest != view.StateDigest
+	return p.revision.Before(view.Revision) || p.revision == view.Revision && p.stateDigest != 0 && p.stateDigest != view.StateDigest
 }
 
-func (o *Observer) setRevision(name string, revision, stateDigest uint64) {
+func (o *Observer) setRevision(name string, revision eelgrasspoint.Revision, stateDigest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p := o.peerState(name)
--- a/coordination/operator/operator.go
+++ b/coordination/operator/operator.go
@@ -101,7 +101,8 @@
 func (o *Operator) Status(ctx context.Context, _ *schema.StatusRequest) (*schema.StatusResponse, error) {
 	view := o.options.Controller.View()
 	snapshot := o.options.Holder.Load()
-	response := &schema.StatusResponse{Node: view.Self.Name, Revision: view.Revision}
+	revision, large := translator.RevisionMessage(view.Revision)
+	response := &schema.StatusResponse{Node: view.Self.Name, Revision: revision, LargeRevision: large}
 	for _, zone := range snapshot.Configuration.Document.AvailabilityZones {
 		response.AvailabilityZones = append(response.AvailabilityZones, translator.AvailabilityZoneMessage(zone))
 	}
@@ -141,8 +142,9 @@
 // heartbeat sends a heartbeat without gossip to a peer and returns the answer. Wall is the local time, which
 // is never later than that of this node's event clock.
 func (o *Operator) heartbeat(ctx context.Context, view *eelgrasspoint.MembershipView, peer schema.Exchange) (*schema.ConverseResponse, error) {
+	revision, large := translator.RevisionMessage(view.Revision)
 	return peer.Converse(ctx, &schema.ConverseRequest{
-		Cluster: o.options.Cluster, From: view.Self.Name, Revision: view.Revision, Digest: view.Digest,
+		Cluster: o.options.Cluster, From: view.Self.Name, Revision: revision, LargeRevision: large, Digest: view.Digest,
 		Wall: uint64(o.options.Clock().UnixNano()),
 	})
 }
@@ -159,12 +161,13 @@
 		if err != nil {
 			nodeRevision.Error = err.Error()
 		}
-		nodeRevision.Revision = answer.GetRevision()
+		nodeRevision.Revision, nodeRevision.LargeRevision = answer.GetRevision(), answer.GetLargeRevision()
 		mu.Lock()
 		defer mu.Unlock()
 		response.Nodes = append(response.Nodes, nodeRevision)
 	})
-	response.Nodes = append(response.Nodes, &schema.NodeRevision{Node: view.Self.Name, Revision: o.options.Controller.View().Revision})
+	revision, large := translator.RevisionMessage(o.options.Controller.View().Revision)
+	response.Nodes = append(response.Nodes, &schema.NodeRevision{Node: view.Self.Name, Revision: revision, LargeRevision: large})
 	slices.SortFunc(response.Nodes, func(a, b *schema.NodeRevision) int { return cmp.Compare(a.GetNode(), b.GetNode()) })
 	return response, nil
 }
--- a/errors.go
+++ b/errors.go
@@ -209,14 +209,6 @@
 // Error implements error.
 func (e *EpochUnreadableError) Error() string { return e.Reason }
 
-// VersionTooHighError is returned for a version of the table service that a revision can't hold.
-type VersionTooHighError struct{ Version uint64 }
-
-// Error implements error.
-func (e *VersionTooHighError) Error() string {
-	return fmt.Sprintf("version %d is above %d, the highest one", e.Version, uint64(MaxRowVersion))
-}
-
 // joinMistakes returns the mistakes as text, one a line.
 func joinMistakes(mistakes []Mistake) string {
 	lines := make([]string, len(mistakes))
--- a/platform.go
+++ b/platform.go
@@ -5,14 +5,14 @@
 // Row is one row of the table service. Version is zero for a row that does not exist.
 type Row struct {
 	Key     string
-	Version uint64
+	Version Revision
 	Value   []byte
 }
 
 // Condition requires a row to have a version; zero requires that it does not exist.
 type Condition struct {
 	Key     string
-	Version uint64
+	Version Revision
 }
 
 // Write sets a row, or deletes it if Delete is set.
--- a/protocol/propagator/propagator.go
+++ b/protocol/propagator/propagator.go
@@ -30,7 +30,7 @@
 	// Insists asks the exit node to queue the request rather than to refuse it.
 	Insists  bool
 	Caller   string
-	Revision uint64
+	Revision eelgrasspoint.Revision
 	Service  string
 	Weight   uint32
 	// Target is the TargetLatency of RequestMetadata.
@@ -66,8 +66,8 @@
 	if meta.Caller != "" {
 		header[eelgrasspoint.HeaderCaller] = []string{meta.Caller}
 	}
-	if meta.Revision != 0 {
-		header[eelgrasspoint.HeaderRevision] = []string{strconv.FormatUint(meta.Revision, 10)}
+	if !meta.Revision.IsZero() {
+		header[eelgrasspoint.HeaderRevision] = []string{eelgrasspoint.FormatRevision(meta.Revision)}
 	}
 	header[eelgrasspoint.HeaderService] = []string{meta.Service}
 	header[eelgrasspoint.HeaderWeight] = []string{strconv.FormatUint(uint64(meta.Weight), 10)}
@@ -138,7 +138,7 @@
 		}
 	}
 	if text := header.Get(eelgrasspoint.HeaderRevision); text != "" {
-		if metadata.Revision, err = strconv.ParseUint(text, 10, 64); err != nil {
+		if metadata.Revision, err = eelgrasspoint.ParseRevision(text); err != nil {
 			return metadata, fmt.Errorf("%s: %w", eelgrasspoint.HeaderRevision, err)
 		}
 	}
--- a/protocol/propagator/propagator_test.go
+++ b/protocol/propagator/propagator_test.go
@@ -18,7 +18,7 @@
 	meta := &eelgrasspoint.RequestMetadata{
 		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
 		Fingerprint: 0xfeed, BodyOpen: true, Attempt: 1, Insists: true, Deadline: now.Add(1500 * time.Millisecond),
-		Caller: "ledger", Revision: 7, Service: "vitrine", Weight: 998, TargetLatency: 300 * time.Millisecond,
+		Caller: "ledger", Revision: eelgrasspoint.Revision{Version: 7}, Service: "vitrine", Weight: 998, TargetLatency: 300 * time.Millisecond,
 	}
 	header := http.Header{}
 	propagator.Write(header, meta, now)
@@ -27,7 +27,7 @@
 	assert.DeepEqual(t, metadata, propagator.Metadata{
 		RequestID: "r", Client: "c", Route: "bids", Permitted: []string{"norte", "alentejo"}, Depth: 3,
 		Fingerprint: 0xfeed, BodyOpen: true, Attempt: 1, Insists: true, Remaining: 1500 * time.Millisecond,
-		Caller: "ledger", Revision: 7, Service: "vitrine", Weight: 998, Target: 300 * time.Millisecond,
+		Caller: "ledger", Revision: eelgrasspoint.Revision{Version: 7}, Service: "vitrine", Weight: 998, Target: 300 * time.Millisecond,
 	})
 	fields := reflect.ValueOf(metadata)
 	for i := range fields.NumField() {
--- /dev/null
+++ b/protocol/translator/revision_test.go
@@ -0,0 +1,42 @@
+package translator_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+	"eelgrasspoint/protocol/translator"
+)
+
+// TestRevisionsBetweenNodesKeepEveryNumber guards against a change that other nodes take for an older one, since a field of a
+// message can't hold its version or its epoch.
+func TestRevisionsBetweenNodesKeepEveryNumber(t *testing.T) {
+	for _, revision := range []eelgrasspoint.Revision{
+		{},
+		{Version: 7},
+		{Epoch: 2, Version: 1<<40 - 1},
+		{Version: 1 << 40},
+		{Epoch: 1, Version: 1 << 53},
+		{Epoch: 1 << 24, Version: 5},
+		{Epoch: math.MaxUint64, Version: math.MaxUint64},
+	} {
+		sent := eelgrasspoint.Configuration{Revision: revision, Document: eelgrasspoint.Document{
+			AvailabilityZones: []eelgrasspoint.AvailabilityZone{{Name: "a-1", ChangedAt: revision}},
+		}}
+		received := translator.Configuration(translator.ConfigurationMessage(&sent))
+		assert.Equal(t, received.Revision, revision)
+		assert.Equal(t, received.Document.AvailabilityZones[0].ChangedAt, revision)
+		assert.Equal(t, received.StateDigest(), sent.StateDigest())
+	}
+}
+
+// TestRevisionOfAnEarlierVersionOfTheProgram guards against nodes that part in a rolling update: they exchange one number.
+func TestRevisionOfAnEarlierVersionOfTheProgram(t *testing.T) {
+	const packed = 2<<40 | 5
+	assert.Equal(t, translator.Revision(packed, nil), eelgrasspoint.Revision{Epoch: 2, Version: 5})
+	number, large := translator.RevisionMessage(eelgrasspoint.Revision{Epoch: 2, Version: 5})
+	assert.Equal(t, number, uint64(packed))
+	assert.Assert(t, large == nil)
+}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -30,7 +30,10 @@
 			return eelgrasspoint.Region{Name: r.GetName()}
 		}),
 		AvailabilityZones: mapSlice(m.GetAvailabilityZones(), func(z *schema.AvailabilityZone) eelgrasspoint.AvailabilityZone {
-			return eelgrasspoint.AvailabilityZone{Name: z.GetName(), Region: z.GetRegion(), OutOfService: z.GetOutOfService(), ChangedAt: z.GetChangedAt()}
+			return eelgrasspoint.AvailabilityZone{
+				Name: z.GetName(), Region: z.GetRegion(), OutOfService: z.GetOutOfService(),
+				ChangedAt: Revision(z.GetChangedAt(), z.GetLargeChangedAt()),
+			}
 		}),
 		Services: mapSlice(m.GetServices(), func(s *schema.Service) eelgrasspoint.Service {
 			return eelgrasspoint.Service{
@@ -73,7 +76,8 @@
 
 // AvailabilityZoneMessage converts an availability zone to a message.
 func AvailabilityZoneMessage(z eelgrasspoint.AvailabilityZone) *schema.AvailabilityZone {
-	return &schema.AvailabilityZone{Name: z.Name, Region: z.Region, OutOfService: z.OutOfService, ChangedAt: z.ChangedAt}
+	changedAt, large := RevisionMessage(z.ChangedAt)
+	return &schema.AvailabilityZone{Name: z.Name, Region: z.Region, OutOfService: z.OutOfService, ChangedAt: changedAt, LargeChangedAt: large}
 }
 
 func routeFromMessage(r *schema.Route) eelgrasspoint.Route {
@@ -119,12 +123,15 @@
 
 // Configuration converts a message to a configuration.
 func Configuration(m *schema.GetResponse) eelgrasspoint.Configuration {
-	return eelgrasspoint.Configuration{Revision: m.GetRevision(), Version: m.GetVersion(), Document: Document(m.GetConfiguration())}
+	return eelgrasspoint.Configuration{
+		Revision: Revision(m.GetRevision(), m.GetLargeRevision()), Version: m.GetVersion(), Document: Document(m.GetConfiguration()),
+	}
 }
 
 // ConfigurationMessage converts a configuration to a message.
 func ConfigurationMessage(c *eelgrasspoint.Configuration) *schema.GetResponse {
-	return &schema.GetResponse{Revision: c.Revision, Version: c.Version, Configuration: DocumentMessage(&c.Document)}
+	revision, large := RevisionMessage(c.Revision)
+	return &schema.GetResponse{Revision: revision, LargeRevision: large, Version: c.Version, Configuration: DocumentMessage(&c.Document)}
 }
 
 // Member converts a message to a member. It returns an error if the peer address or the backend server's
--- a/reconciliation.go
+++ b/reconciliation.go
@@ -15,17 +15,17 @@
 // configuration with the higher revision is returned; of two with the same revision, that with a number, or else c.
 func (c *Configuration) Reconcile(other *Configuration) *Configuration {
 	if c.Version == 0 || other.Version == 0 {
-		if cmp.Or(cmp.Compare(other.Revision, c.Revision), cmp.Compare(other.Version, c.Version)) > 0 {
+		if cmp.Or(other.Revision.Compare(c.Revision), cmp.Compare(other.Version, c.Version)) > 0 {
 			return other
 		}
 		return c
 	}
 	newer, older := c, other
-	if cmp.Or(cmp.Compare(other.Version, c.Version), cmp.Compare(other.Revision, c.Revision)) > 0 {
+	if cmp.Or(cmp.Compare(other.Version, c.Version), other.Revision.Compare(c.Revision)) > 0 {
 		newer, older = other, c
 	}
 	reconciled := *newer
-	reconciled.Revision = max(c.Revision, other.Revision)
+	reconciled.Revision = c.Revision.Later(other.Revision)
 	reconciled.Document.AvailabilityZones = latestZones(newer.Document.AvailabilityZones, older.Document.AvailabilityZones)
 	return &reconciled
 }
@@ -50,7 +50,7 @@
 // service counts.
 func (z AvailabilityZone) supersedes(other AvailabilityZone) bool {
 	if z.ChangedAt != other.ChangedAt {
-		return z.ChangedAt > other.ChangedAt
+		return z.ChangedAt.After(other.ChangedAt)
 	}
 	return z.OutOfService && !other.OutOfService
 }
@@ -65,7 +65,7 @@
 	hash := xxhash.New()
 	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, c.Version))
 	for _, zone := range c.Document.AvailabilityZones {
-		if zone.ChangedAt == 0 {
+		if zone.ChangedAt.IsZero() {
 			continue
 		}
 		_, _ = hash.WriteString(zone.Name)
@@ -73,17 +73,26 @@
 		if zone.OutOfService {
 			state[0] = 1
 		}
-		_, _ = hash.Write(binary.LittleEndian.AppendUint64(state, zone.ChangedAt))
+		_, _ = hash.Write(appendRevision(state, zone.ChangedAt))
 	}
 	return hash.Sum64()
 }
 
+// appendRevision appends a revision to the input of a hash. One that can be packed is appended as earlier versions of the
+// program do, so that their hashes are the same.
+func appendRevision(input []byte, r Revision) []byte {
+	if packed, fits := r.Packed(); fits {
+		return binary.LittleEndian.AppendUint64(input, packed)
+	}
+	return binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(input, r.Epoch), r.Version)
+}
+
 // HasNews reports whether a node with the revision and the digest has something that c lacks. One with a lower revision
 // reconciles first, and has the same revision then. A digest of zero is that of a node that does not know the operators'
 // number, or sends none, and is no news.
-func (c *Configuration) HasNews(revision, digest uint64) bool {
+func (c *Configuration) HasNews(revision Revision, digest uint64) bool {
 	if revision != c.Revision {
-		return revision > c.Revision
+		return revision.After(c.Revision)
 	}
 	return digest != 0 && digest != c.StateDigest()
 }
--- a/reconciliation_test.go
+++ b/reconciliation_test.go
@@ -1,6 +1,7 @@
 package eelgrasspoint_test
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -9,19 +10,28 @@
 	"eelgrasspoint"
 )
 
+// drawRevision draws an epoch and a version, each of which may also be near the highest number.
+func drawRevision(t *rapid.T, label string, maxVersion uint64) eelgrasspoint.Revision {
+	high := uint64(math.MaxUint64)
+	return eelgrasspoint.Revision{
+		Epoch:   rapid.SampledFrom([]uint64{0, 1, 2, 1<<24 - 1, 1 << 24, high}).Draw(t, label+" epoch"),
+		Version: rapid.OneOf(rapid.Uint64Range(0, maxVersion), rapid.SampledFrom([]uint64{1<<40 - 1, 1 << 40, high})).Draw(t, label+" row"),
+	}
+}
+
 // drawConfiguration draws what a node may know: a number of the operators, the changes of two zones, and a revision.
 func drawConfiguration(t *rapid.T, label string) *eelgrasspoint.Configuration {
 	version := rapid.Uint64Range(1, 3).Draw(t, label+" version")
 	c := &eelgrasspoint.Configuration{
 		Version:  version,
-		Revision: eelgrasspoint.NewRevision(rapid.Uint64Range(0, 2).Draw(t, label+" epoch"), rapid.Uint64Range(0, 9).Draw(t, label+" row")),
+		Revision: drawRevision(t, label, 9),
 	}
 	// Documents with the same number have the same content.
 	c.Document.Routes = []eelgrasspoint.Route{{Name: "r", PathPrefix: "/", Weight: uint32(version)}}
 	for _, name := range []string{"a-1", "b-1"} {
 		c.Document.AvailabilityZones = append(c.Document.AvailabilityZones, eelgrasspoint.AvailabilityZone{
 			Name: name, OutOfService: rapid.Bool().Draw(t, label+" out"),
-			ChangedAt: eelgrasspoint.NewRevision(rapid.Uint64Range(0, 2).Draw(t, label+" zone epoch"), rapid.Uint64Range(0, 3).Draw(t, label+" zone row")),
+			ChangedAt: drawRevision(t, label+" zone", 3),
 		})
 	}
 	return c
@@ -44,9 +54,9 @@
 // version of the program, that is not put in force, or that replaces one that says more.
 func TestReconcileWithUnknownNumber(t *testing.T) {
 	plain := func(revision uint64) *eelgrasspoint.Configuration {
-		return &eelgrasspoint.Configuration{Revision: revision}
+		return &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: revision}}
 	}
-	numbered := &eelgrasspoint.Configuration{Revision: 7, Version: 3}
+	numbered := &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 7}, Version: 3}
 	cases := map[string]struct{ first, second, want *eelgrasspoint.Configuration }{
 		"higher revision":                {plain(7), plain(8), plain(8)},
 		"lower revision":                 {plain(7), plain(6), plain(7)},
@@ -60,20 +70,12 @@
 	}
 }
 
-// TestRevisionsOfALaterEpochAreHigher guards against an order of versions that the table service gives out again.
-func TestRevisionsOfALaterEpochAreHigher(t *testing.T) {
-	assert.Assert(t, eelgrasspoint.NewRevision(2, 5) > eelgrasspoint.NewRevision(1, eelgrasspoint.MaxRowVersion))
-	assert.Assert(t, eelgrasspoint.NewRevision(1, 0) > eelgrasspoint.NewRevision(0, eelgrasspoint.MaxRowVersion))
-	assert.Equal(t, eelgrasspoint.FormatRevision(7), "7")
-	assert.Equal(t, eelgrasspoint.FormatRevision(eelgrasspoint.NewRevision(2, 5)), "2199023255557 (epoch 2, version 5)")
-}
-
 // TestOlderConfigurationIsNoNews guards against nodes that fetch the configuration before a change from those that lag behind,
 // and against nodes of the same revision that never tell each other what only one of them knows.
 func TestOlderConfigurationIsNoNews(t *testing.T) {
 	configuration := func(revision, version uint64, out bool) *eelgrasspoint.Configuration {
-		return &eelgrasspoint.Configuration{Revision: revision, Version: version, Document: eelgrasspoint.Document{
-			AvailabilityZones: []eelgrasspoint.AvailabilityZone{{Name: "a-1", OutOfService: out, ChangedAt: 3}},
+		return &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: revision}, Version: version, Document: eelgrasspoint.Document{
+			AvailabilityZones: []eelgrasspoint.AvailabilityZone{{Name: "a-1", OutOfService: out, ChangedAt: eelgrasspoint.Revision{Version: 3}}},
 		}}
 	}
 	inForce := configuration(7, 2, false)
@@ -85,8 +87,8 @@
 		"earlier":                        {configuration(6, 1, true), false},
 		"same":                           {configuration(7, 2, false), false},
 		"same revision, another state":   {configuration(7, 2, true), true},
-		"same revision, unknown number":  {&eelgrasspoint.Configuration{Revision: 7}, false},
-		"later revision, unknown number": {&eelgrasspoint.Configuration{Revision: 8}, true},
+		"same revision, unknown number":  {&eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 7}}, false},
+		"later revision, unknown number": {&eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 8}}, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -38,7 +38,7 @@
 	// caller.
 	Caller string
 	// Revision is the configuration revision that the entry node used.
-	Revision uint64
+	Revision Revision
 	// TargetLatency is the latency objective of the route, or zero.
 	TargetLatency time.Duration
 }
--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -75,7 +75,7 @@
 func (r *Runner) confirm(a eelgrasspoint.Announcement) {
 	path := r.serviceConfiguration(a.Backend.Service).HealthPath
 	if path == "" {
-		if r.revision() > 0 {
+		if !r.revision().IsZero() {
 			r.controller.Submit(controller.ConfirmLifetime{ID: a.ID})
 		}
 		return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -207,7 +207,7 @@
 
 // fetchFrom fetches the configuration from a candidate's node if its revision is higher than after, and
 // waits for HeartbeatTimeout at most until it is in force.
-func (r *Runner) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, after uint64) {
+func (r *Runner) fetchFrom(ctx context.Context, from *eelgrasspoint.Candidate, after eelgrasspoint.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
 	defer cancel()
 	r.fetcher.Fetch(ctx, eelgrasspoint.Member{Name: from.Node, PeerAddress: from.PeerAddress}, after)
@@ -219,7 +219,7 @@
 
 func (r *Runner) notice() eelgrasspoint.ServerNotice { return r.executor.Notice() }
 
-func (r *Runner) revision() uint64 { return r.holder.Load().Configuration.Revision }
+func (r *Runner) revision() eelgrasspoint.Revision { return r.holder.Load().Configuration.Revision }
 
 func (r *Runner) nodeCount() int { return r.holder.Load().Nodes }
 
--- a/runner/source.go
+++ b/runner/source.go
@@ -72,10 +72,10 @@
 		}
 		backoff = minSourceBackoff
 		r.recordStoreBack()
-		if configuration.Revision > 0 {
+		if !configuration.Revision.IsZero() {
 			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
 			r.controller.WaitApplied()
-			r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
+			r.followEpoch(ctx, configuration.Revision.Epoch)
 		}
 	}
 }
@@ -126,9 +126,9 @@
 
 // ready reports whether the node accepts requests of callers, and records a change.
 func (r *Runner) ready() bool {
-	ready := !r.stopping.Load() && r.revision() > 0
+	ready := !r.stopping.Load() && !r.revision().IsZero()
 	if r.wasReady.Swap(ready) != ready {
-		r.record(eelgrasspoint.EventReadinessChanged, fmt.Sprintf("ready: %v, stopping: %v, revision %d", ready, r.stopping.Load(), r.revision()))
+		r.record(eelgrasspoint.EventReadinessChanged, fmt.Sprintf("ready: %v, stopping: %v, revision %v", ready, r.stopping.Load(), r.revision()))
 	}
 	return ready
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -142,7 +142,7 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(row.Version, 10)))
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(row.Version.Version, 10)))
 	_, _ = w.Write(row.Value)
 }
 
--- a/standin/proof/attempts_test.go
+++ b/standin/proof/attempts_test.go
@@ -105,7 +105,7 @@
 		for _, n := range s.Nodes[4:] {
 			n.StartNode()
 		}
-		took := waitUntil(20*time.Second, onAllNodes(s, func(n *simulator.Node) bool { return n.Runner.View().Revision > 0 }))
+		took := waitUntil(20*time.Second, onAllNodes(s, func(n *simulator.Node) bool { return n.Runner.View().Revision.Version > 0 }))
 		assert.Assert(t, took < 3*time.Second, "all nodes have a configuration after %v", took)
 	})
 }
@@ -160,7 +160,7 @@
 			withPair(t, backend.Behavior{}, func(t *testing.T, p *pair) {
 				response := p.Apply(t.Context(), p.exit, c.change)
 				assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
-				assert.Assert(t, p.entry.Runner.View().Revision < response.GetRevision())
+				assert.Assert(t, p.entry.Runner.View().Revision.Version < response.GetRevision())
 				got := p.sendBooking("b", nil)
 				assert.Equal(t, got.status, c.status, "%+v", got)
 				assert.Equal(t, got.reason, c.reason)
--- a/standin/proof/changes_test.go
+++ b/standin/proof/changes_test.go
@@ -29,7 +29,7 @@
 			began := time.Now()
 			response := s.ApplyDocument(t.Context(), s.Nodes[change*3], document)
 			assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, response.GetDetail())
-			waitUntil(10*time.Second, onAllNodes(s, func(n *simulator.Node) bool { return n.Runner.View().Revision >= response.GetRevision() }))
+			waitUntil(10*time.Second, onAllNodes(s, func(n *simulator.Node) bool { return n.Runner.View().Revision.Version >= response.GetRevision() }))
 			assert.Assert(t, time.Since(began) <= changePropagationLimit, "revision %d after %v", response.GetRevision(), time.Since(began))
 		}
 	})
@@ -138,7 +138,7 @@
 		restarted := s.Nodes[0]
 		restarted.StartNode()
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, restarted.Runner.View().Revision, last)
-		assert.Equal(t, s.Nodes[3].Runner.View().Revision, last)
+		assert.Equal(t, restarted.Runner.View().Revision.Version, last)
+		assert.Equal(t, s.Nodes[3].Runner.View().Revision.Version, last)
 	})
 }
--- a/standin/proof/departures_test.go
+++ b/standin/proof/departures_test.go
@@ -276,7 +276,7 @@
 		allUsed := func() bool {
 			for _, at := range p.Nodes {
 				for _, beside := range p.Nodes {
-					if at.Runner.View().Revision == 0 || !isUsed(at, beside) {
+					if at.Runner.View().Revision.IsZero() || !isUsed(at, beside) {
 						return false
 					}
 				}
--- a/standin/proof/fetch_test.go
+++ b/standin/proof/fetch_test.go
@@ -50,7 +50,7 @@
 		}}}
 		response := p.Apply(t.Context(), p.exit, moved)
 		assert.Equal(t, response.GetResult(), schema.ApplyResult_APPLY_RESULT_ACCEPTED, "%v", response)
-		assert.Assert(t, p.entry.Runner.View().Revision < response.GetRevision())
+		assert.Assert(t, p.entry.Runner.View().Revision.Version < response.GetRevision())
 		var group sync.WaitGroup
 		for i := range 30 {
 			group.Go(func() {
--- a/standin/proof/membership_test.go
+++ b/standin/proof/membership_test.go
@@ -183,7 +183,7 @@
 		}
 		for _, n := range s.Nodes {
 			assert.Equal(t, countAlive(n), 8, n.Name)
-			assert.Equal(t, n.Runner.View().Revision, uint64(1), n.Name)
+			assert.Equal(t, n.Runner.View().Revision.Version, uint64(1), n.Name)
 		}
 	})
 }
--- a/standin/proof/silence_test.go
+++ b/standin/proof/silence_test.go
@@ -47,7 +47,7 @@
 		assert.Assert(t, changed.GetRevision() > 0, "%v", changed)
 		time.Sleep(shortestChangePropagationLimit)
 		for _, n := range s.Nodes {
-			assert.Equal(t, n.Runner.View().Revision, changed.GetRevision(), "revision at %s", n.Name)
+			assert.Equal(t, n.Runner.View().Revision.Version, changed.GetRevision(), "revision at %s", n.Name)
 		}
 	})
 }
--- a/state/connector/connector.go
+++ b/state/connector/connector.go
@@ -40,7 +40,7 @@
 	case result.Err != nil:
 		return eelgrasspoint.Row{}, &eelgrasspoint.UnavailableError{Call: "Read", Cause: result.Err}
 	}
-	return eelgrasspoint.Row{Key: key, Version: parseVersion(result.Header.Get("ETag")), Value: result.Body}, nil
+	return eelgrasspoint.Row{Key: key, Version: eelgrasspoint.Revision{Version: parseVersion(result.Header.Get("ETag"))}, Value: result.Body}, nil
 }
 
 // Scan returns the rows whose keys have the prefix, sorted by key.
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -38,7 +38,7 @@
 	// Notice returns what the backend server beside the node last said about itself.
 	Notice func() eelgrasspoint.ServerNotice
 	// Revision returns the revision of the configuration in force.
-	Revision func() uint64
+	Revision func() eelgrasspoint.Revision
 	// RefusedRoutes returns the number of routes whose requests are refused, since the node can't read their definition.
 	RefusedRoutes func() int
 	// Members returns the number of nodes known to be alive, including the node itself.
@@ -163,7 +163,8 @@
 		}
 		return math.Inf(1)
 	})
-	gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(source.Revision()) })
+	gauge("revision", "Revision of the configuration in force, without its epoch.", func() float64 { return float64(source.Revision().Version) })
+	gauge("epoch", "Epoch of the revision of the configuration in force.", func() float64 { return float64(source.Revision().Epoch) })
 	gauge("refused_routes", "Routes in force whose requests are refused, since the node can't read their definition.", func() float64 { return float64(source.RefusedRoutes()) })
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "exchange_bytes_total",
--- a/state/meter/meter_test.go
+++ b/state/meter/meter_test.go
@@ -19,7 +19,7 @@
 	assert.NilError(t, err)
 	m := meter.New(meter.Source{
 		Notice: func() eelgrasspoint.ServerNotice { return eelgrasspoint.ServerNotice{} },
-		Load:   func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Revision: func() uint64 { return 1 },
+		Load:   func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Revision: func() eelgrasspoint.Revision { return eelgrasspoint.Revision{Version: 1} },
 		Members: func() int { return 1 }, RefusedRoutes: func() int { return 0 }, ControlBytes: func() (int64, int64) { return 1, 1 },
 	})
 	m.ObserveRequest("s", eelgrasspoint.Answered, time.Millisecond)
--- a/state/publisher/publisher.go
+++ b/state/publisher/publisher.go
@@ -24,7 +24,7 @@
 	Configuration eelgrasspoint.Configuration
 	// Accepted holds the most recently accepted changes, oldest first.
 	Accepted []AcceptedChange
-	version  uint64
+	version  eelgrasspoint.Revision
 }
 
 // AcceptedChange is the identifier of a change and the revision that the change produced.
@@ -104,7 +104,7 @@
 			Path: "Document", Message: fmt.Sprintf("has %d bytes, more than the limit of %d bytes", len(body), maxDocumentBytes),
 		}}}
 	}
-	successor := rowValue{Revision: base.Configuration.Revision + 1, Document: body}
+	successor := rowValue{Revision: base.Configuration.Revision.Version + 1, Document: body}
 	recent := base.Accepted[max(0, len(base.Accepted)-maxAcceptedChanges+1):]
 	successor.Accepted = append(append(successor.Accepted, recent...), AcceptedChange{ChangeID: changeID, Revision: successor.Revision})
 	return json.Marshal(successor)
@@ -120,7 +120,7 @@
 		return Published{}, unreadableRowError(err)
 	}
 	return Published{
-		Configuration: eelgrasspoint.Configuration{Revision: value.Revision, Document: translator.Document(&message)},
+		Configuration: eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: value.Revision}, Document: translator.Document(&message)},
 		Accepted:      value.Accepted, version: stored.Version,
 	}, nil
 }
--- a/state/publisher/publisher_test.go
+++ b/state/publisher/publisher_test.go
@@ -101,7 +101,7 @@
 	document := base.Configuration.Document
 	document.Services = append(append([]eelgrasspoint.Service{}, document.Services...), eelgrasspoint.Service{Name: id})
 	err = m.publisher.Replace(ctx, base, id, &document)
-	revision := base.Configuration.Revision + 1
+	revision := base.Configuration.Revision.Version + 1
 	var unknown *eelgrasspoint.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		published, readErr := m.publisher.Read(ctx)
@@ -119,7 +119,7 @@
 func (m *model) catchUp(t *rapid.T) {
 	node := m.node(t)
 	published, err := m.publisher.Read(context.Background())
-	if err == nil && published.Configuration.Revision > m.nodes[node].Revision {
+	if err == nil && published.Configuration.Revision.After(m.nodes[node].Revision) {
 		m.nodes[node] = published.Configuration
 	}
 }
@@ -134,8 +134,8 @@
 	}
 	for _, configuration := range m.nodes {
 		for id, revision := range m.accepted {
-			if revision <= configuration.Revision && configuration.Document.Service(id).Name == "" {
-				t.Fatalf("configuration of revision %d lacks change %s of revision %d", configuration.Revision, id, revision)
+			if revision <= configuration.Revision.Version && configuration.Document.Service(id).Name == "" {
+				t.Fatalf("configuration of revision %d lacks change %s of revision %d", configuration.Revision.Version, id, revision)
 			}
 		}
 	}
@@ -162,7 +162,7 @@
 	assert.Assert(t, errors.As(p.Replace(t.Context(), publisher.Published{}, "c", document), &invalid))
 	published, err := p.Read(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, published.Configuration.Revision, uint64(0))
+	assert.Assert(t, published.Configuration.Revision.IsZero())
 }
 
 // TestAcceptedChangesAreBounded guards against a row that grows with every change, and against
--- a/state/storer/storer.go
+++ b/state/storer/storer.go
@@ -56,7 +56,7 @@
 	defer s.mu.Unlock()
 	for _, condition := range transaction.Conditions {
 		if version := s.rows[condition.Key].Version; version != condition.Version {
-			return &eelgrasspoint.ConflictError{Key: condition.Key, Version: version}
+			return &eelgrasspoint.ConflictError{Key: condition.Key, Version: version.Version}
 		}
 	}
 	for _, write := range transaction.Writes {
@@ -71,5 +71,5 @@
 		return
 	}
 	s.lastVersion++
-	s.rows[write.Key] = eelgrasspoint.Row{Key: write.Key, Version: s.lastVersion, Value: slices.Clone(write.Value)}
+	s.rows[write.Key] = eelgrasspoint.Row{Key: write.Key, Version: eelgrasspoint.Revision{Version: s.lastVersion}, Value: slices.Clone(write.Value)}
 }
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -135,13 +135,13 @@
 	meta.Service = received.Service
 	meta.Weight = received.Weight
 	meta.TargetLatency = received.Target
-	if snapshot.Configuration.Revision == 0 {
+	if snapshot.Configuration.Revision.IsZero() {
 		// Without a configuration, it is unknown which zones are out of service and how much load a cold
 		// backend server can take.
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.NotReady, "no configuration yet")
 	}
 	region := snapshot.Self.Region
-	if received.Revision > snapshot.Configuration.Revision || unreadableHere(snapshot, received.Route, received.Revision) {
+	if received.Revision.After(snapshot.Configuration.Revision) || unreadableHere(snapshot, received.Route, received.Revision) {
 		// The entry node uses a later revision, or could read more of this one, so only the home regions that it
 		// sent can be checked.
 		if !meta.Permits(region) {
@@ -168,7 +168,7 @@
 
 // unreadableHere reports whether the entry node used the revision of this node, but only this node can't read the
 // route, as between two versions of the program.
-func unreadableHere(snapshot *eelgrasspoint.Snapshot, name string, revision uint64) bool {
+func unreadableHere(snapshot *eelgrasspoint.Snapshot, name string, revision eelgrasspoint.Revision) bool {
 	route := snapshot.Router.Route(name)
 	return route != nil && route.Refuses() && revision == snapshot.Configuration.Revision
 }
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -48,22 +48,22 @@
 		reason           eelgrasspoint.Reason
 		reachesExecutor  bool
 	}{
-		{"no configuration", 0, eelgrasspoint.RequestMetadata{Route: "moved", Service: "new", Revision: 7}, eelgrasspoint.NotReady, false},
-		{"later revision, unknown route", 5, eelgrasspoint.RequestMetadata{Route: "added", Service: "new", Revision: 7}, eelgrasspoint.Overloaded, true},
-		{"later revision, bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "added", Service: "new", Revision: 7, Permitted: []string{"elsewhere"}}, eelgrasspoint.WrongRegion, false},
-		{"same revision", 5, eelgrasspoint.RequestMetadata{Route: "moved", Service: "new", Revision: 5}, eelgrasspoint.Overloaded, true},
-		{"earlier revision, route moved to another service", 5, eelgrasspoint.RequestMetadata{Route: "moved", Service: "old", Revision: 4}, eelgrasspoint.StaleRoute, false},
-		{"earlier revision, route removed", 5, eelgrasspoint.RequestMetadata{Route: "removed", Service: "old", Revision: 4}, eelgrasspoint.StaleRoute, false},
-		{"earlier revision, service with weight zero", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "new", Revision: 4}, eelgrasspoint.StaleRoute, false},
-		{"earlier revision, service still served by the route", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "old", Revision: 4}, eelgrasspoint.Overloaded, true},
-		{"earlier revision, route since bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "home", Service: "old", Revision: 4}, eelgrasspoint.WrongRegion, false},
-		{"same revision, route that only the entry node can read", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 5}, eelgrasspoint.Overloaded, true},
-		{"same revision, such a route bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 5, Permitted: []string{"elsewhere"}}, eelgrasspoint.WrongRegion, false},
-		{"earlier revision, route that can't be read any more", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: 4}, eelgrasspoint.StaleRoute, false},
+		{"no configuration", 0, eelgrasspoint.RequestMetadata{Route: "moved", Service: "new", Revision: eelgrasspoint.Revision{Version: 7}}, eelgrasspoint.NotReady, false},
+		{"later revision, unknown route", 5, eelgrasspoint.RequestMetadata{Route: "added", Service: "new", Revision: eelgrasspoint.Revision{Version: 7}}, eelgrasspoint.Overloaded, true},
+		{"later revision, bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "added", Service: "new", Revision: eelgrasspoint.Revision{Version: 7}, Permitted: []string{"elsewhere"}}, eelgrasspoint.WrongRegion, false},
+		{"same revision", 5, eelgrasspoint.RequestMetadata{Route: "moved", Service: "new", Revision: eelgrasspoint.Revision{Version: 5}}, eelgrasspoint.Overloaded, true},
+		{"earlier revision, route moved to another service", 5, eelgrasspoint.RequestMetadata{Route: "moved", Service: "old", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.StaleRoute, false},
+		{"earlier revision, route removed", 5, eelgrasspoint.RequestMetadata{Route: "removed", Service: "old", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.StaleRoute, false},
+		{"earlier revision, service with weight zero", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "new", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.StaleRoute, false},
+		{"earlier revision, service still served by the route", 5, eelgrasspoint.RequestMetadata{Route: "split", Service: "old", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.Overloaded, true},
+		{"earlier revision, route since bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "home", Service: "old", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.WrongRegion, false},
+		{"same revision, route that only the entry node can read", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: eelgrasspoint.Revision{Version: 5}}, eelgrasspoint.Overloaded, true},
+		{"same revision, such a route bound to another region", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: eelgrasspoint.Revision{Version: 5}, Permitted: []string{"elsewhere"}}, eelgrasspoint.WrongRegion, false},
+		{"earlier revision, route that can't be read any more", 5, eelgrasspoint.RequestMetadata{Route: "unreadable", Service: "new", Revision: eelgrasspoint.Revision{Version: 4}}, eelgrasspoint.StaleRoute, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			configuration := &eelgrasspoint.Configuration{Revision: c.exitNodeRevision}
+			configuration := &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: c.exitNodeRevision}}
 			if c.exitNodeRevision > 0 {
 				configuration.Document = document
 			}
--- a/transport/receiver/silent_test.go
+++ b/transport/receiver/silent_test.go
@@ -33,7 +33,7 @@
 // TestSilentEntryNodeHoldsNoAttempt guards against an attempt that outlasts its deadline, with its slot, because the
 // rest of its body never comes.
 func TestSilentEntryNodeHoldsNoAttempt(t *testing.T) {
-	configuration := &eelgrasspoint.Configuration{Revision: 1, Document: eelgrasspoint.Document{
+	configuration := &eelgrasspoint.Configuration{Revision: eelgrasspoint.Revision{Version: 1}, Document: eelgrasspoint.Document{
 		Routes: []eelgrasspoint.Route{{Name: "all", PathPrefix: "/", Service: "s"}},
 	}}
 	protocols := new(http.Protocols)
@@ -53,7 +53,7 @@
 	go func() { _, _ = writer.Write([]byte("ab")) }()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, exitNode.URL+"/1", body)
 	assert.NilError(t, err)
-	meta := &eelgrasspoint.RequestMetadata{Route: "all", Service: "s", Revision: 1, Deadline: time.Now().Add(200 * time.Millisecond)}
+	meta := &eelgrasspoint.RequestMetadata{Route: "all", Service: "s", Revision: eelgrasspoint.Revision{Version: 1}, Deadline: time.Now().Add(200 * time.Millisecond)}
 	propagator.Write(request.Header, meta, time.Now())
 	client := &http.Client{Transport: &http.Transport{Protocols: protocols}, Timeout: time.Second}
 	defer client.CloseIdleConnections()
--- a/view.go
+++ b/view.go
@@ -9,7 +9,7 @@
 	// Digest is a hash of the alive members (see assigner.Digest).
 	Digest uint64
 	// Revision is that of the configuration in force.
-	Revision uint64
+	Revision Revision
 	// StateDigest is that of the configuration in force.
 	StateDigest uint64
 	// Observed are the members that receive the node's heartbeats.
