A lower number that is acknowledged after a restore is in force

Cause: of two documents, the higher number won for good.

The epoch of that change orders before the number from then on and goes to the other nodes, so that one which still has the higher number does not bring it back. Within an epoch a lower number is refused as before, and as long as numbers only rise nothing changes: the new order is zero at all nodes.

Ruled out: an epoch of each document that orders before its number. A process that begins after the copy reads the copy's document in the new epoch and would bring back an older one at all nodes.

--- a/configuration.go
+++ b/configuration.go
@@ -154,7 +154,14 @@
 type Configuration struct {
 	Revision Revision
 	// Version is the number that the operators gave the document, or zero if it is unknown.
-	Version    uint64
+	Version uint64
+	// NumberingEpoch is the epoch of the table service in which the operators went on with a lower number than one that the copy
+	// lacked, or zero if they never did. Documents of a later one are newer, whatever their numbers are.
+	NumberingEpoch uint64
+	// ReadEpoch is the latest epoch in which a node read the document from the table service. Written is set if this node
+	// knows that it was written in that epoch, and not before the copy.
+	ReadEpoch  uint64
+	Written    bool
 	Document   Document
 	Provenance Provenance
 }
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -12,6 +12,16 @@
 type ReplaceConfiguration struct{ Configuration eelgrasspoint.Configuration }
 
 func (r ReplaceConfiguration) apply(c *Controller) {
+	if r.fromTable() {
+		r.Configuration.NumberingEpoch = c.numberingEpoch(&r.Configuration)
+		read := r.Configuration
+		c.stored.configuration = &read
+	}
+	r.reconcile(c)
+	c.reviewStored()
+}
+
+func (r ReplaceConfiguration) reconcile(c *Controller) {
 	known := c.configuration
 	rereads := r.readsMore(known)
 	if rereads {
@@ -27,17 +37,22 @@
 // readsMore reports whether this node itself read the revision in force from the table service, but has it from
 // another node, which understood it differently. An earlier version of the program may not read all of it.
 func (r ReplaceConfiguration) readsMore(inForce *eelgrasspoint.Configuration) bool {
-	origin := r.Configuration.Provenance.Origin
-	if origin != eelgrasspoint.StoreFeed && origin != eelgrasspoint.StoreScan {
+	if !r.fromTable() {
 		return false
 	}
-	if r.Configuration.Revision.IsZero() || r.Configuration.Revision != inForce.Revision || r.Configuration.Version < inForce.Version {
+	if r.Configuration.Revision.IsZero() || r.Configuration.Revision != inForce.Revision || r.Configuration.CompareNumbers(inForce) < 0 {
 		return false
 	}
 	reread := r.withZonesOf(inForce)
 	return inForce.Provenance.Origin == eelgrasspoint.OtherNode && reread.Document.Digest() != inForce.Document.Digest()
 }
 
+// fromTable reports whether this node itself read the configuration from the table service.
+func (r ReplaceConfiguration) fromTable() bool {
+	origin := r.Configuration.Provenance.Origin
+	return origin == eelgrasspoint.StoreFeed || origin == eelgrasspoint.StoreScan
+}
+
 // withZonesOf returns the configuration with the availability zones of another one.
 func (r ReplaceConfiguration) withZonesOf(other *eelgrasspoint.Configuration) *eelgrasspoint.Configuration {
 	changed := r.Configuration
@@ -77,6 +92,9 @@
 	if c.configuration.Version != 0 {
 		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: c.configuration.Version})
 	}
+	if c.configuration.NumberingEpoch != 0 {
+		inputs = append(inputs, eelgrasspoint.Input{Name: "NumberingEpoch", Value: c.configuration.NumberingEpoch})
+	}
 	c.options.Recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + c.configuration.Revision.String(), Inputs: inputs,
 	})
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -34,6 +34,7 @@
 	// gossipUntil holds, by member name, the time until which an updated member is gossiped.
 	gossipUntil   map[string]time.Time
 	configuration *eelgrasspoint.Configuration
+	stored        storedDocument
 	router        *router.Router
 	announcedAt   time.Time
 	// draining is set by Drain and Leave and never reset. For a backend server that announced that
--- a/protocol/translator/revision_test.go
+++ b/protocol/translator/revision_test.go
@@ -22,11 +22,13 @@
 		{Epoch: 1 << 24, Version: 5},
 		{Epoch: math.MaxUint64, Version: math.MaxUint64},
 	} {
-		sent := eelgrasspoint.Configuration{Revision: revision, Document: eelgrasspoint.Document{
+		sent := eelgrasspoint.Configuration{Revision: revision, Version: 3, NumberingEpoch: 4, ReadEpoch: 5, Document: eelgrasspoint.Document{
 			AvailabilityZones: []eelgrasspoint.AvailabilityZone{{Name: "a-1", ChangedAt: revision}},
 		}}
 		received := translator.Configuration(translator.ConfigurationMessage(&sent))
 		assert.Equal(t, received.Revision, revision)
+		assert.Equal(t, received.CompareNumbers(&sent), 0)
+		assert.Equal(t, received.ReadEpoch, sent.ReadEpoch)
 		assert.Equal(t, received.Document.AvailabilityZones[0].ChangedAt, revision)
 		assert.Equal(t, received.StateDigest(), sent.StateDigest())
 	}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -124,14 +124,20 @@
 // Configuration converts a message to a configuration.
 func Configuration(m *schema.GetResponse) eelgrasspoint.Configuration {
 	return eelgrasspoint.Configuration{
-		Revision: Revision(m.GetRevision(), m.GetLargeRevision()), Version: m.GetVersion(), Document: Document(m.GetConfiguration()),
+		Revision: Revision(m.GetRevision(), m.GetLargeRevision()), Version: m.GetVersion(), NumberingEpoch: m.GetNumberingEpoch(),
+		ReadEpoch: m.GetReadEpoch(),
+		Document:  Document(m.GetConfiguration()),
 	}
 }
 
 // ConfigurationMessage converts a configuration to a message.
 func ConfigurationMessage(c *eelgrasspoint.Configuration) *schema.GetResponse {
 	revision, large := RevisionMessage(c.Revision)
-	return &schema.GetResponse{Revision: revision, LargeRevision: large, Version: c.Version, Configuration: DocumentMessage(&c.Document)}
+	return &schema.GetResponse{
+		Revision: revision, LargeRevision: large, Version: c.Version, NumberingEpoch: c.NumberingEpoch,
+		ReadEpoch:     c.ReadEpoch,
+		Configuration: DocumentMessage(&c.Document),
+	}
 }
 
 // Member converts a message to a member. It returns an error if the peer address or the backend server's
--- a/reconciliation.go
+++ b/reconciliation.go
@@ -11,7 +11,7 @@
 
 // Reconcile returns what two configurations say together, in any order of the two: the document that the operators gave the
 // higher number, and of each availability zone the latest change. Nodes that know different epochs of the table service
-// agree in this way: neither has to know all of what the other does. If the number of one of them is unknown, the
+// agree in this way: neither has to know all of what the other does. A higher number is one of a later NumberingEpoch, too. If the number of one of them is unknown, the
 // configuration with the higher revision is returned; of two with the same revision, that with a number, or else c.
 func (c *Configuration) Reconcile(other *Configuration) *Configuration {
 	if c.Version == 0 || other.Version == 0 {
@@ -21,15 +21,25 @@
 		return c
 	}
 	newer, older := c, other
-	if cmp.Or(cmp.Compare(other.Version, c.Version), other.Revision.Compare(c.Revision)) > 0 {
+	numbers := other.CompareNumbers(c)
+	if cmp.Or(numbers, other.Revision.Compare(c.Revision)) > 0 {
 		newer, older = other, c
 	}
 	reconciled := *newer
 	reconciled.Revision = c.Revision.Later(other.Revision)
+	if numbers == 0 {
+		reconciled.ReadEpoch = max(c.ReadEpoch, other.ReadEpoch)
+	}
 	reconciled.Document.AvailabilityZones = latestZones(newer.Document.AvailabilityZones, older.Document.AvailabilityZones)
 	return &reconciled
 }
 
+// CompareNumbers orders the documents of two configurations by the operators' numbers: it returns -1 if that of c is older than
+// that of other, 1 if it is newer and 0 otherwise.
+func (c *Configuration) CompareNumbers(other *Configuration) int {
+	return cmp.Or(cmp.Compare(c.NumberingEpoch, other.NumberingEpoch), cmp.Compare(c.Version, other.Version))
+}
+
 // latestZones returns the zones of both lists, sorted by name, each as its latest change left it.
 func latestZones(zones, others []AvailabilityZone) []AvailabilityZone {
 	latest := slices.Clone(zones)
--- a/reconciliation_test.go
+++ b/reconciliation_test.go
@@ -23,8 +23,9 @@
 func drawConfiguration(t *rapid.T, label string) *eelgrasspoint.Configuration {
 	version := rapid.Uint64Range(1, 3).Draw(t, label+" version")
 	c := &eelgrasspoint.Configuration{
-		Version:  version,
-		Revision: drawRevision(t, label, 9),
+		Version:        version,
+		NumberingEpoch: rapid.Uint64Range(0, 2).Draw(t, label+" numbering"),
+		Revision:       drawRevision(t, label, 9),
 	}
 	// Documents with the same number have the same content.
 	c.Document.Routes = []eelgrasspoint.Route{{Name: "r", PathPrefix: "/", Weight: uint32(version)}}
