Refusals by the configuration name the configuration that decided them

Seen: RequestRefused lines with NoRoute, RouteUnreadable and NotReady had "Revision":0, and an exit node that refused an attempt as StaleRoute or NotReady wrote no line at all. A node with an old configuration looked like any other one.

Cause: matchRoute set the revision only once a route had matched; the receiver recorded none of its refusals.

Now such a line names the revision, the operators' number, the origin (and the other node), how long ago the configuration was put in force, and how old the last successful read of the table service is. The exit node writes AttemptRefused for StaleRoute and NotReady, with the revision of the entry node, unless its own or the entry node's home regions forbid to store it there. Other lines are as long as before.

No decision changes: after a refusal of matchRoute the request ends, also in refreshRoute, so hasNewerRevision and attempts never see the revision that is now set earlier. The check of the regions at the exit node moved into permittedRegions unchanged.

--- a/configuration.go
+++ b/configuration.go
@@ -166,6 +166,36 @@
 	Node string
 	// Took is how long the call lasted, with the wait for a change.
 	Took time.Duration
+	// InForceAt is when the node put the configuration in force.
+	InForceAt time.Time
+}
+
+// Inputs returns what the log line of a decision says of the configuration that it was based on. readAt is the time of the
+// last successful read of the table service, zero if there was none.
+func (c *Configuration) Inputs(now, readAt time.Time) []Input {
+	inputs := c.originInputs()
+	if !c.Provenance.InForceAt.IsZero() {
+		inputs = append(inputs, Input{Name: "InForceMilliseconds", Value: now.Sub(c.Provenance.InForceAt).Milliseconds()})
+	}
+	if !readAt.IsZero() {
+		inputs = append(inputs, Input{Name: "ReadAgeMilliseconds", Value: now.Sub(readAt).Milliseconds()})
+	}
+	return inputs
+}
+
+// originInputs returns the numbers of the configuration, besides its revision, and where the node got it from.
+func (c *Configuration) originInputs() []Input {
+	inputs := []Input{{Name: "Origin", Value: c.Provenance.Origin.String()}}
+	if c.Provenance.Node != "" {
+		inputs = append(inputs, Input{Name: "From", Value: c.Provenance.Node})
+	}
+	if epoch := Epoch(c.Revision); epoch != 0 {
+		inputs = append(inputs, Input{Name: "Epoch", Value: epoch})
+	}
+	if c.Version != 0 {
+		inputs = append(inputs, Input{Name: "Version", Value: c.Version})
+	}
+	return inputs
 }
 
 //go:generate stringer -type=Origin -output=origin_string.go
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -49,6 +49,7 @@
 // force. provenance is that of what changed.
 func (c *Controller) setConfiguration(configuration eelgrasspoint.Configuration, provenance eelgrasspoint.Provenance) {
 	previous := c.zonesOutOfService()
+	provenance.InForceAt = c.options.Clock()
 	configuration.Provenance = provenance
 	c.configuration = &configuration
 	c.router = router.New(&c.configuration.Document)
--- a/coordination/controller/provenance_test.go
+++ b/coordination/controller/provenance_test.go
@@ -33,6 +33,7 @@
 	assert.Equal(t, inputs["Origin"], "OtherNode")
 	assert.Equal(t, inputs["From"], "a")
 	assert.Equal(t, inputs["TookMilliseconds"], int64(40))
+	assert.Assert(t, !c.configuration.Provenance.InForceAt.IsZero())
 	changed := eelgrasspoint.Document{Services: []eelgrasspoint.Service{{Name: "other"}}}
 	assert.Assert(t, document.Digest() != changed.Digest())
 }
--- a/coordination/forwarder/events.go
+++ b/coordination/forwarder/events.go
@@ -38,12 +38,22 @@
 	p.record(eelgrasspoint.EventRequestRetried, lastErr.Error(), inputs...)
 }
 
+// recordError records the error that the request ended with. If the configuration decided it, the line says which one it
+// was and how old it is.
+func (p *proxiedRequest) recordError(err *eelgrasspoint.OutcomeError, took time.Duration) {
+	var inputs []eelgrasspoint.Input
+	if err.Reason.ByConfiguration() && p.configuration != nil {
+		inputs = p.configuration.Inputs(p.forwarder.Clock(), p.forwarder.Holder.ReadAt())
+	}
+	p.recordEnd(errorEvent(err), err.Error(), took, eelgrasspoint.Status(err.Outcome, err.Reason), inputs...)
+}
+
 // recordEnd records the result of the request: status, time until the answer or error was available
 // (without relaying it), time left before the deadline and exit node of the attempt that ended last.
-func (p *proxiedRequest) recordEnd(number eelgrasspoint.EventNumber, detail string, took time.Duration, status int) {
-	inputs := []eelgrasspoint.Input{
-		{Name: "Status", Value: status}, {Name: "TookMilliseconds", Value: took.Milliseconds()},
-	}
+func (p *proxiedRequest) recordEnd(number eelgrasspoint.EventNumber, detail string, took time.Duration, status int, inputs ...eelgrasspoint.Input) {
+	inputs = append(inputs,
+		eelgrasspoint.Input{Name: "Status", Value: status},
+		eelgrasspoint.Input{Name: "TookMilliseconds", Value: took.Milliseconds()})
 	if !p.meta.Deadline.IsZero() {
 		left := p.meta.Deadline.Sub(p.forwarder.Clock())
 		inputs = append(inputs, eelgrasspoint.Input{Name: "LeftMilliseconds", Value: left.Milliseconds()})
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -187,7 +187,7 @@
 func (f *Forwarder) respondError(w http.ResponseWriter, p *proxiedRequest, start time.Time, err *eelgrasspoint.OutcomeError) {
 	f.Meter.ObserveRequest(p.meta.Service, err.Outcome, f.Clock().Sub(start))
 	f.Meter.CountWithoutAnswer(p.meta.Service, err.Reason)
-	p.recordEnd(errorEvent(err), err.Error(), f.Clock().Sub(start), eelgrasspoint.Status(err.Outcome, err.Reason))
+	p.recordError(err, f.Clock().Sub(start))
 	p.setConnectionClose(w.Header())
 	responder.Write(w, f.Contract, p.meta.RequestID, &eelgrasspoint.OutcomeError{
 		Outcome: err.Outcome, Reason: err.Reason, Detail: publicDetail(err), RetryAfter: err.RetryAfter,
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -23,14 +23,16 @@
 	snapshot  *eelgrasspoint.Snapshot
 	// self is the node's own member entry as of the request's arrival; snapshot is reloaded before each
 	// choice of a candidate.
-	self         eelgrasspoint.Member
-	request      *http.Request
-	matchedRoute *eelgrasspoint.Route
-	meta         eelgrasspoint.RequestMetadata
-	body         *replayer.Replayer
-	interrupter  *interrupter.Interrupter
-	header       http.Header
-	tried        []*eelgrasspoint.Candidate
+	self eelgrasspoint.Member
+	// configuration is the one that the request was matched to a route by, nil before.
+	configuration *eelgrasspoint.Configuration
+	request       *http.Request
+	matchedRoute  *eelgrasspoint.Route
+	meta          eelgrasspoint.RequestMetadata
+	body          *replayer.Replayer
+	interrupter   *interrupter.Interrupter
+	header        http.Header
+	tried         []*eelgrasspoint.Candidate
 	// lastEnded is the candidate of the attempt that ended last, which need not be the last of tried: attempts
 	// are concurrent with a hedge.
 	lastEnded *eelgrasspoint.Candidate
@@ -58,8 +60,10 @@
 // a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
+	p.configuration = p.snapshot.Configuration
+	p.meta.Revision = p.configuration.Revision
 	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
-	if p.matchedRoute == nil && p.snapshot.Configuration.Revision == 0 {
+	if p.matchedRoute == nil && p.configuration.Revision == 0 {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
 	if p.matchedRoute == nil {
@@ -69,7 +73,6 @@
 		return eelgrasspoint.Refuse(eelgrasspoint.RouteUnreadable, "")
 	}
 	p.meta.SetRoute(p.matchedRoute)
-	p.meta.Revision = p.snapshot.Configuration.Revision
 	if len(p.matchedRoute.Split) > 0 {
 		p.meta.Service = p.matchedRoute.PickService(p.forwarder.Random.Float64())
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// ByConfiguration reports whether a refusal for the reason is decided by the configuration alone.
+func (r Reason) ByConfiguration() bool {
+	switch r {
+	case NoRoute, RouteUnreadable, WrongRegion, StaleRoute, NotReady:
+		return true
+	default:
+		return false
+	}
+}
+
 // ServerNotReached reports whether a refusal for the reason means that nothing reached the backend
 // server.
 func (r Reason) ServerNotReached() bool {
--- a/runner/source.go
+++ b/runner/source.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		backoff = minSourceBackoff
+		r.holder.MarkRead(r.options.Clock())
 		r.recordStoreBack()
 		if configuration.Revision > 0 {
 			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
--- a/state/holder/holder.go
+++ b/state/holder/holder.go
@@ -14,6 +14,8 @@
 	// refreshedAtNanos is the time of the last MarkRefreshed in nanoseconds since the Unix epoch, or
 	// zero before the first.
 	refreshedAtNanos atomic.Int64
+	// readAt is the time of the last MarkRead, nil before the first.
+	readAt atomic.Pointer[time.Time]
 }
 
 // New returns a holder of the initial snapshot.
@@ -33,6 +35,17 @@
 // and that all received changes have been applied to the snapshot.
 func (h *Holder) MarkRefreshed(now time.Time) { h.refreshedAtNanos.Store(now.UnixNano()) }
 
+// MarkRead records that the node has just read the configuration from the table service, whether it changed or not.
+func (h *Holder) MarkRead(now time.Time) { h.readAt.Store(&now) }
+
+// ReadAt returns the time of the last MarkRead, or the zero time before the first.
+func (h *Holder) ReadAt() time.Time {
+	if at := h.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Stale reports whether the last refresh is more than eelgrasspoint.MaxSnapshotAge ago, which
 // happens if the process was paused. The snapshot may then be outdated, and no request may be
 // started with it. Before the first refresh Stale returns false.
--- a/transport/receiver/receiver.go
+++ b/transport/receiver/receiver.go
@@ -59,11 +59,13 @@
 		return
 	}
 	entryRegion := request.Header.Get(eelgrasspoint.HeaderEntryRegion)
-	meta, refusal := r.metadata(request)
+	snapshot := r.Holder.Load()
+	meta, refusal := r.metadata(request, snapshot)
 	if refusal == nil && !r.Withdrawer.Begin(propagator.Key(request.Header), meta.Deadline) {
 		refusal = eelgrasspoint.Refuse(eelgrasspoint.Withdrawn, "")
 	}
 	if refusal != nil {
+		r.recordRefusal(meta, snapshot, refusal)
 		r.writeError(w, entryRegion, meta.RequestID, refusal)
 		return
 	}
@@ -118,9 +120,30 @@
 	})
 }
 
+// recordRefusal records an attempt that the configuration refused, unless data residency forbids it.
+func (r *Receiver) recordRefusal(meta *eelgrasspoint.RequestMetadata, snapshot *eelgrasspoint.Snapshot, refusal *eelgrasspoint.OutcomeError) {
+	if !refusal.Reason.ByConfiguration() {
+		return
+	}
+	permitted, allowed := permittedRegions(snapshot, snapshot.Router.Route(meta.Route), meta)
+	if !allowed {
+		return
+	}
+	inputs := snapshot.Configuration.Inputs(r.Clock(), r.Holder.ReadAt())
+	r.Recorder.Record(eelgrasspoint.Event{
+		Number: eelgrasspoint.EventAttemptRefused, Service: meta.Service, RequestID: meta.RequestID, Permitted: permitted,
+		AvailabilityZone: snapshot.Self.AvailabilityZone, Detail: refusal.Error(),
+		Inputs: append(inputs,
+			eelgrasspoint.Input{Name: "Route", Value: meta.Route},
+			eelgrasspoint.Input{Name: "Attempt", Value: meta.Attempt},
+			eelgrasspoint.Input{Name: "Revision", Value: snapshot.Configuration.Revision},
+			eelgrasspoint.Input{Name: "EntryRevision", Value: meta.Revision}),
+	})
+}
+
 // metadata returns the metadata of a request, built from the headers of the attempt and the configuration
 // of this node. The metadata is never nil. The error is the refusal of the attempt, or nil.
-func (r *Receiver) metadata(request *http.Request) (*eelgrasspoint.RequestMetadata, *eelgrasspoint.OutcomeError) {
+func (r *Receiver) metadata(request *http.Request, snapshot *eelgrasspoint.Snapshot) (*eelgrasspoint.RequestMetadata, *eelgrasspoint.OutcomeError) {
 	received, err := propagator.Read(request.Header)
 	meta := &eelgrasspoint.RequestMetadata{
 		RequestID: received.RequestID, Client: received.Client, Route: received.Route, Depth: received.Depth,
@@ -131,7 +154,6 @@
 	if err != nil {
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, err.Error())
 	}
-	snapshot := r.Holder.Load()
 	meta.Service = received.Service
 	meta.Weight = received.Weight
 	meta.TargetLatency = received.Target
@@ -156,16 +178,32 @@
 	meta.SetRoute(route)
 	// SetRoute overwrites the service, which the entry node may have chosen from the traffic split.
 	meta.Service = received.Service
-	configuredRegions, hasCommonRegion := snapshot.Router.Permitted(route, received.Client)
-	if !hasCommonRegion || !meta.Permits(region) || len(configuredRegions) > 0 && !slices.Contains(configuredRegions, region) {
+	permitted, allowed := permittedRegions(snapshot, route, meta)
+	if !allowed {
 		return meta, eelgrasspoint.Refuse(eelgrasspoint.WrongRegion, "")
 	}
-	if !meta.RegionBound() {
-		meta.Permitted = configuredRegions
-	}
+	meta.Permitted = permitted
 	return meta, nil
 }
 
+// permittedRegions returns the regions that may serve and store the request, none if all may. It reports false if that of
+// this node may not, by what the entry node sent or by the configuration of this node. The route is nil if this node doesn't
+// know it.
+func permittedRegions(snapshot *eelgrasspoint.Snapshot, route *eelgrasspoint.Route, meta *eelgrasspoint.RequestMetadata) ([]string, bool) {
+	if route == nil {
+		route = &eelgrasspoint.Route{}
+	}
+	region := snapshot.Self.Region
+	configured, hasCommon := snapshot.Router.Permitted(route, meta.Client)
+	if !hasCommon || !meta.Permits(region) || len(configured) > 0 && !slices.Contains(configured, region) {
+		return nil, false
+	}
+	if meta.RegionBound() {
+		return meta.Permitted, true
+	}
+	return configured, true
+}
+
 // unreadableHere reports whether the entry node used the revision of this node, but only this node can't read the
 // route, as between two versions of the program.
 func unreadableHere(snapshot *eelgrasspoint.Snapshot, name string, revision uint64) bool {
--- a/transport/receiver/receiver_test.go
+++ b/transport/receiver/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -88,3 +89,76 @@
 		})
 	}
 }
+
+// TestRefusalByConfigurationIsRecorded guards against an attempt that the configuration of the exit node refuses without a
+// line that names it, and against a line in a region that may not store it.
+func TestRefusalByConfigurationIsRecorded(t *testing.T) {
+	document := eelgrasspoint.Document{
+		Routes: []eelgrasspoint.Route{
+			{Name: "moved", PathPrefix: "/m", Service: "new"},
+			{Name: "away", PathPrefix: "/a", Service: "new", HomeRegions: []string{"elsewhere"}},
+		},
+		Clients: []eelgrasspoint.Client{{Name: "elsewhere", HomeRegions: []string{"elsewhere"}}},
+	}
+	cases := []struct {
+		name     string
+		revision uint64
+		meta     eelgrasspoint.RequestMetadata
+		reason   eelgrasspoint.Reason
+		recorded bool
+	}{
+		{"moved", 5, eelgrasspoint.RequestMetadata{Route: "moved"}, eelgrasspoint.StaleRoute, true},
+		{"removed", 5, eelgrasspoint.RequestMetadata{Route: "removed"}, eelgrasspoint.StaleRoute, true},
+		{"no configuration", 0, eelgrasspoint.RequestMetadata{Route: "moved"}, eelgrasspoint.NotReady, true},
+		{"moved, bound elsewhere by the entry node", 5, eelgrasspoint.RequestMetadata{Route: "moved", Permitted: []string{"elsewhere"}}, eelgrasspoint.StaleRoute, false},
+		{"moved and since bound elsewhere", 5, eelgrasspoint.RequestMetadata{Route: "away"}, eelgrasspoint.StaleRoute, false},
+		{"removed, of a Client of another region", 5, eelgrasspoint.RequestMetadata{Route: "removed", Client: "elsewhere"}, eelgrasspoint.StaleRoute, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			configuration := &eelgrasspoint.Configuration{}
+			if c.revision > 0 {
+				configuration = &eelgrasspoint.Configuration{Revision: c.revision, Version: 8, Document: document, Provenance: eelgrasspoint.Provenance{
+					Origin: eelgrasspoint.StoreFeed, InForceAt: time.Now().Add(-time.Minute),
+				}}
+			}
+			h := holder.New(&eelgrasspoint.Snapshot{
+				Self: eelgrasspoint.Member{Region: "here"}, Configuration: configuration, Router: router.New(&configuration.Document),
+			})
+			h.MarkRead(time.Now().Add(-time.Second))
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			events := recorder.New("exit", time.Now, log)
+			exitNode := receiver.New(receiver.Options{
+				Holder: h, Executor: &refusingExecutor{}, Contract: parser.New(), Clock: time.Now,
+				Load: func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Count: func(string, int) {},
+				Withdrawer: withdrawer.New(time.Now), Measuring: budgeter.New(1000, time.Now), Recorder: events,
+			})
+			r := httptest.NewRequest(http.MethodGet, "/m/1", nil)
+			c.meta.Service, c.meta.Revision, c.meta.RequestID, c.meta.Deadline = "old", 4, "id", time.Now().Add(time.Second)
+			propagator.Write(r.Header, &c.meta, time.Now())
+			w := httptest.NewRecorder()
+			exitNode.ServeHTTP(w, r)
+			assert.Equal(t, w.Header().Get(eelgrasspoint.HeaderReason), c.reason.String())
+			recorded := events.Events(time.Time{})
+			assert.Equal(t, len(recorded) == 1, c.recorded)
+			if !c.recorded {
+				return
+			}
+			assert.Equal(t, recorded[0].Number, eelgrasspoint.EventAttemptRefused)
+			assert.Equal(t, recorded[0].RequestID, "id")
+			inputs := make(map[string]any)
+			for _, input := range recorded[0].Inputs {
+				inputs[input.Name] = input.Value
+			}
+			assert.Equal(t, inputs["Revision"], c.revision)
+			assert.Equal(t, inputs["EntryRevision"], uint64(4))
+			assert.Assert(t, inputs["ReadAgeMilliseconds"].(int64) >= 1000)
+			if c.revision > 0 {
+				assert.Equal(t, inputs["Version"], uint64(8))
+				assert.Equal(t, inputs["Origin"], "StoreFeed")
+				assert.Assert(t, inputs["InForceMilliseconds"].(int64) >= 60_000)
+			}
+		})
+	}
+}
