A configuration that is read and not put in force is recorded

Seen: a node that read a change and kept the configuration in force left no line of it, so that it looked like a node that had read nothing.

New event 55, ConfigurationNotInForce: what was read (revision, operators' number, origin, other node, digest), what is in force (the same, and for how long) and why that stays. It is written once for each configuration, in whatever order they are read again, for the last 64 of them. It covers reads that change nothing, and reads whose revision or availability zones are merged while the document in force stays: a lower number of the operators at a later revision.

A configuration is compared with the one in force only if it differs from the last one that was compared: by its numbers, its origin, or the identity of its routes, which a source shares between reads without a new document. The controller keeps the digest in force, so that readsMore no longer computes it at each read.

Red without the call in ReplaceConfiguration: TestUnusedConfigurationIsRecordedOnce in the 6 cases with a line, TestUnusedConfigurationsAreBounded.

--- a/configuration.go
+++ b/configuration.go
@@ -173,7 +173,7 @@
 // Inputs returns what the log line of a decision says of the configuration that it was based on. readAt is the time of the
 // last successful read of the table service, zero if there was none.
 func (c *Configuration) Inputs(now, readAt time.Time) []Input {
-	inputs := c.originInputs()
+	inputs := c.OriginInputs()
 	if !c.Provenance.InForceAt.IsZero() {
 		inputs = append(inputs, Input{Name: "InForceMilliseconds", Value: now.Sub(c.Provenance.InForceAt).Milliseconds()})
 	}
@@ -183,8 +183,8 @@
 	return inputs
 }
 
-// originInputs returns the numbers of the configuration, besides its revision, and where the node got it from.
-func (c *Configuration) originInputs() []Input {
+// OriginInputs returns the numbers of the configuration, besides its revision, and where the node got it from.
+func (c *Configuration) OriginInputs() []Input {
 	inputs := []Input{{Name: "Origin", Value: c.Provenance.Origin.String()}}
 	if c.Provenance.Node != "" {
 		inputs = append(inputs, Input{Name: "From", Value: c.Provenance.Node})
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -13,20 +13,21 @@
 
 func (r ReplaceConfiguration) apply(c *Controller) {
 	known := c.configuration
-	rereads := r.readsMore(known)
+	rereads := r.readsMore(known, c.digest)
 	if rereads {
 		known = r.withZonesOf(known)
 	}
 	reconciled := known.Reconcile(&r.Configuration)
-	if !rereads && reconciled.Revision == known.Revision && reconciled.StateDigest() == known.StateDigest() {
-		return
+	if rereads || reconciled.Revision != known.Revision || reconciled.StateDigest() != known.StateDigest() {
+		c.setConfiguration(*reconciled, r.Configuration.Provenance)
 	}
-	c.setConfiguration(*reconciled, r.Configuration.Provenance)
+	c.recordIfUnused(&r.Configuration)
 }
 
 // readsMore reports whether this node itself read the revision in force from the table service, but has it from
-// another node, which understood it differently. An earlier version of the program may not read all of it.
-func (r ReplaceConfiguration) readsMore(inForce *eelgrasspoint.Configuration) bool {
+// another node, which understood it differently. An earlier version of the program may not read all of it. The digest is
+// that of the document in force.
+func (r ReplaceConfiguration) readsMore(inForce *eelgrasspoint.Configuration, digest uint64) bool {
 	origin := r.Configuration.Provenance.Origin
 	if origin != eelgrasspoint.StoreFeed && origin != eelgrasspoint.StoreScan {
 		return false
@@ -35,7 +36,7 @@
 		return false
 	}
 	reread := r.withZonesOf(inForce)
-	return inForce.Provenance.Origin == eelgrasspoint.OtherNode && reread.Document.Digest() != inForce.Document.Digest()
+	return inForce.Provenance.Origin == eelgrasspoint.OtherNode && reread.Document.Digest() != digest
 }
 
 // withZonesOf returns the configuration with the availability zones of another one.
@@ -52,6 +53,9 @@
 	provenance.InForceAt = c.options.Clock()
 	configuration.Provenance = provenance
 	c.configuration = &configuration
+	c.digest = c.configuration.Document.Digest()
+	// A configuration that is in force as it was read needs no comparison.
+	c.unused.compared = newComparedRead(c.configuration)
 	c.router = router.New(&c.configuration.Document)
 	c.recordRevision()
 	c.recordZoneChanges(previous)
@@ -63,26 +67,16 @@
 
 // recordRevision records the revision in force, and how the node got it.
 func (c *Controller) recordRevision() {
-	provenance := c.configuration.Provenance
-	inputs := []eelgrasspoint.Input{
-		{Name: "Origin", Value: provenance.Origin.String()},
-		{Name: "Digest", Value: fmt.Sprintf("%016x", c.configuration.Document.Digest())},
-		{Name: "TookMilliseconds", Value: provenance.Took.Milliseconds()},
-	}
-	if provenance.Node != "" {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "From", Value: provenance.Node})
-	}
-	if epoch := eelgrasspoint.Epoch(c.configuration.Revision); epoch != 0 {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "Epoch", Value: epoch})
-	}
-	if c.configuration.Version != 0 {
-		inputs = append(inputs, eelgrasspoint.Input{Name: "Version", Value: c.configuration.Version})
-	}
+	inputs := append(c.configuration.OriginInputs(),
+		eelgrasspoint.Input{Name: "Digest", Value: formatDigest(c.digest)},
+		eelgrasspoint.Input{Name: "TookMilliseconds", Value: c.configuration.Provenance.Took.Milliseconds()})
 	c.options.Recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + eelgrasspoint.FormatRevision(c.configuration.Revision), Inputs: inputs,
 	})
 }
 
+func formatDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
 func (c *Controller) recordZoneChanges(previous map[string]bool) {
 	for _, zone := range c.configuration.Document.AvailabilityZones {
 		wasOut, known := previous[zone.Name]
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -34,8 +34,11 @@
 	// gossipUntil holds, by member name, the time until which an updated member is gossiped.
 	gossipUntil   map[string]time.Time
 	configuration *eelgrasspoint.Configuration
-	router        *router.Router
-	announcedAt   time.Time
+	// digest is that of the document in force.
+	digest      uint64
+	unused      unusedReads
+	router      *router.Router
+	announcedAt time.Time
 	// draining is set by Drain and Leave and never reset. For a backend server that announced that
 	// it is draining, see lifetime.
 	draining bool
@@ -100,6 +103,7 @@
 		restored:         !options.Restoring,
 		startedAt:        options.Clock(),
 	}
+	c.digest = c.configuration.Document.Digest()
 	c.router = router.New(&c.configuration.Document)
 	c.members[c.self.Name] = c.self
 	c.publish()
--- a/event.go
+++ b/event.go
@@ -64,6 +64,7 @@
 	EventStoreRestored
 	EventEpochUnreadable
 	EventQuarantinesRestored
+	EventConfigurationNotInForce
 )
 
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
--- a/event_string.go
+++ b/event_string.go
@@ -63,11 +63,12 @@
 	_ = x[EventStoreRestored-52]
 	_ = x[EventEpochUnreadable-53]
 	_ = x[EventQuarantinesRestored-54]
+	_ = x[EventConfigurationNotInForce-55]
 }
 
-const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUpAnswerCutShortHandlerPanickedServerErrorConfigurationNotFetchedBackendLimitedBackendUnlimitedBackendLeavingDefinitionUnreadBackendHangsBackendAnswersAgainDepartureReplicatedDepartureNotReplicatedDeparturesRestoredAnnouncementHeldStoreRestoredEpochUnreadableQuarantinesRestored"
+const _EventNumber_name = "NoneNodeStartedNodeStoppingNodeStoppedBackendAnnouncedBackendLeftBackendLapsedBackendColdBackendCrashedMemberJoinedMemberLeftMemberFailedMemberReturnedRevisionInForceChangeAcceptedChangeRejectedChangeUnknownZoneOutZoneInStoreDownStoreBackRequestRefusedRequestFailedRequestRetriedRequestHedgedRequestQuarantinedPeerSilentBadInputDrainRequestedIsolationSuspectedAnnouncementStaleRequestAnsweredSettingsReloadedReadinessChangedAttemptRefusedAttemptFailedRowKeptLastSlotsGivenUpAnswerCutShortHandlerPanickedServerErrorConfigurationNotFetchedBackendLimitedBackendUnlimitedBackendLeavingDefinitionUnreadBackendHangsBackendAnswersAgainDepartureReplicatedDepartureNotReplicatedDeparturesRestoredAnnouncementHeldStoreRestoredEpochUnreadableQuarantinesRestoredConfigurationNotInForce"
 
-var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474, 488, 503, 514, 537, 551, 567, 581, 597, 609, 628, 647, 669, 687, 703, 716, 731, 750}
+var _EventNumber_index = [...]uint16{0, 4, 15, 27, 38, 54, 65, 78, 89, 103, 115, 125, 137, 151, 166, 180, 194, 207, 214, 220, 229, 238, 252, 265, 279, 292, 310, 320, 328, 342, 360, 377, 392, 408, 424, 438, 451, 458, 474, 488, 503, 514, 537, 551, 567, 581, 597, 609, 628, 647, 669, 687, 703, 716, 731, 750, 773}
 
 func (i EventNumber) String() string {
 	idx := int(i) - 0
