Lines of requests no longer displace lines of changes in the log

All lines shared one queue of 1,024 lines and one rate of 400 lines per second, so a burst of refused requests dropped RevisionInForce, StoreDown and the like just when they are needed.

The emitter has two queues with the same bounds, one for each kind of line. The recorder chooses by the event: lines with a RequestId, and those of events that occur per request or per connection of a caller (EventNumber.PerRequest), go to the log of requests, all others to the log of changes. LinesDropped names the kind and the number; it now also comes 1 s after lines were dropped if no other line follows. Writes don't block, as before.

Red with both kinds in one queue: TestRequestsDontDisplaceChanges in its 3 cases.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -59,6 +60,7 @@
 		Listen:      net.Listen,
 		BackendDial: opener.NewWithTimeout(eelgrasspoint.BackendSilenceLimit).DialContext,
 		Log:         newLog(settings, output),
+		RequestLog:  newLog(settings, output.Requests()),
 		Clock:       time.Now,
 		Seed:        uint64(time.Now().UnixNano()),
 	}
@@ -132,7 +134,7 @@
 	}}
 }
 
-func newLog(settings *loader.Settings, output *emitter.Emitter) logrus.FieldLogger {
+func newLog(settings *loader.Settings, output io.Writer) logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(output)
 	log.SetFormatter(&logrus.JSONFormatter{
--- a/event.go
+++ b/event.go
@@ -67,6 +67,18 @@
 	EventConfigurationNotInForce
 )
 
+// PerRequest reports whether the event can occur for each request or each connection of a caller. Others tell of changes of
+// the node's state and of what it knows.
+func (n EventNumber) PerRequest() bool {
+	switch n {
+	case EventRequestRefused, EventRequestFailed, EventRequestRetried, EventRequestHedged, EventRequestAnswered,
+		EventAttemptRefused, EventAttemptFailed, EventAnswerCutShort, EventHandlerPanicked, EventServerError:
+		return true
+	default:
+		return false
+	}
+}
+
 // Event is recorded on a node. Wall and Logical form a hybrid logical clock timestamp.
 type Event struct {
 	Wall             time.Time
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -95,7 +95,9 @@
 	BackendDial dialer.Func
 	Listen      func(network, address string) (net.Listener, error)
 	Log         logrus.FieldLogger
-	Clock       eelgrasspoint.Clock
+	// RequestLog gets the lines of requests; the default is Log.
+	RequestLog logrus.FieldLogger
+	Clock      eelgrasspoint.Clock
 	// Seed is that of the random numbers of the forwarder.
 	Seed uint64
 	// Chooser and Limiter are optional; the defaults are chooser.New and limiter.New.
@@ -132,10 +134,13 @@
 	if options.BackendDial == nil {
 		options.BackendDial = options.Dial
 	}
+	if options.RequestLog == nil {
+		options.RequestLog = options.Log
+	}
 	r := &Runner{options: options, settings: options.Settings, aborted: make(chan struct{})}
 	r.latestSettings.Store(r.settings)
 	r.controlDialer = dialer.New(options.Dial)
-	r.recorder = recorder.New(r.settings.Name, options.Clock, options.Log)
+	r.recorder = recorder.NewWithRequestLog(r.settings.Name, options.Clock, options.Log, options.RequestLog)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
 	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, RefusedRoutes: r.refusedRoutes, ControlBytes: r.controlDialer.Bytes})
 	r.linkBudget = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
--- a/state/emitter/emitter.go
+++ b/state/emitter/emitter.go
@@ -1,15 +1,15 @@
-// Package emitter writes log lines asynchronously from a bounded queue, so that logging never
-// blocks on the output.
+// Package emitter writes log lines asynchronously from bounded queues, so that logging never blocks on the output, and
+// lines of requests don't displace those of changes.
 package emitter
 
 import (
-	"fmt"
+	"context"
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-// Limits of the queue, the output rate and the time to close.
+// Limits of each queue, of its output rate and of the time to close.
 const (
 	maxQueuedLines    = 1024
 	maxLinesPerSecond = 400
@@ -17,85 +17,44 @@
 	closeTimeout = 200 * time.Millisecond
 )
 
-// Emitter is an io.Writer; each write is one log line. It is safe for concurrent use.
+// Emitter is an io.Writer of the lines of changes; each write is one log line. It is safe for concurrent use.
 type Emitter struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Uint64
-	done    chan struct{}
+	changes, requests *queue
 }
 
 // New returns an emitter that writes to out until Close is called.
 func New(out io.Writer) *Emitter {
-	e := &Emitter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
-	go e.run()
-	return e
+	shared := &lockedWriter{out: out}
+	return &Emitter{changes: newQueue(shared, "changes"), requests: newQueue(shared, "requests")}
 }
 
 // Write implements io.Writer. It never blocks; the line is dropped and counted if the queue is full.
-func (e *Emitter) Write(line []byte) (int, error) {
-	select {
-	case e.lines <- append([]byte{}, line...):
-	default:
-		e.dropped.Add(1)
-	}
-	return len(line), nil
-}
+func (e *Emitter) Write(line []byte) (int, error) { return e.changes.Write(line) }
+
+// Requests returns a writer like the emitter, for the lines of requests. They have a queue and a rate of their own.
+func (e *Emitter) Requests() io.Writer { return e.requests }
 
-// Dropped returns the number of lines dropped so far, because the queue was full or the rate was
-// exceeded.
-func (e *Emitter) Dropped() uint64 { return e.dropped.Load() }
+// Dropped returns the number of lines of both kinds dropped so far, because a queue was full or a rate was exceeded.
+func (e *Emitter) Dropped() uint64 { return e.changes.dropped.Load() + e.requests.dropped.Load() }
 
-// Close flushes the queue, but returns after closeTimeout if the output blocks. Lines written after
+// Close flushes the queues, but returns after closeTimeout if the output blocks. Lines written after
 // Close are lost.
 func (e *Emitter) Close() {
-	timer := time.NewTimer(closeTimeout)
-	defer timer.Stop()
-	select {
-	case e.lines <- nil:
-	case <-timer.C:
-		return
-	}
-	select {
-	case <-e.done:
-	case <-timer.C:
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	e.changes.close(ctx)
+	e.requests.close(ctx)
 }
 
-// run writes the queued lines. It drops and counts those above maxLinesPerSecond within a clock
-// second, and reports the number of dropped lines at most once per second and at the end.
-func (e *Emitter) run() {
-	defer close(e.done)
-	var currentSecond int64
-	var written int
-	var reported uint64
-	for line := range e.lines {
-		if line == nil {
-			break
-		}
-		now := time.Now()
-		if now.Unix() != currentSecond {
-			currentSecond, written = now.Unix(), 0
-			reported = e.reportDropped(reported, now)
-		}
-		if written >= maxLinesPerSecond {
-			e.dropped.Add(1)
-			continue
-		}
-		written++
-		// An error of writing the log can't itself be logged.
-		_, _ = e.out.Write(line)
-	}
-	e.reportDropped(reported, time.Now())
+// lockedWriter makes one write at a time.
+type lockedWriter struct {
+	mu  sync.Mutex
+	out io.Writer
 }
 
-// reportDropped writes one line with the number of lines dropped since the last report, if there
-// are any, and returns the total that has been reported.
-func (e *Emitter) reportDropped(reported uint64, now time.Time) uint64 {
-	dropped := e.dropped.Load()
-	if dropped > reported {
-		_, _ = fmt.Fprintf(e.out, `{"Time":%q,"Level":"warning","Event":"LinesDropped","Detail":"%d log lines dropped since the last report: the queue of %d lines was full or the rate was above %d lines per second"}`+"\n",
-			now.Format(time.RFC3339Nano), dropped-reported, maxQueuedLines, maxLinesPerSecond)
-	}
-	return dropped
+// Write implements io.Writer.
+func (w *lockedWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(line)
 }
--- a/state/emitter/emitter_test.go
+++ b/state/emitter/emitter_test.go
@@ -3,14 +3,18 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"eelgrasspoint"
 	"eelgrasspoint/state/emitter"
+	"eelgrasspoint/state/recorder"
 )
 
 // blockingWriter blocks every write until release is closed.
@@ -79,3 +83,73 @@
 		e.Close()
 	})
 }
+
+// TestRequestsDontDisplaceChanges guards against a change that is missing from the log because of many refused requests.
+func TestRequestsDontDisplaceChanges(t *testing.T) {
+	cases := map[string]struct {
+		blocked  bool
+		requests int
+	}{
+		"output too slow":             {true, 3000},
+		"rate of requests exceeded":   {false, 3000},
+		"rate exceeded, queue filled": {true, 10000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &blockingWriter{release: make(chan struct{})}
+				e := emitter.New(out)
+				requests, changes := newRecorder(e)
+				if !c.blocked {
+					close(out.release)
+				}
+				for range c.requests {
+					requests()
+					if !c.blocked {
+						synctest.Wait()
+					}
+				}
+				changes()
+				if c.blocked {
+					close(out.release)
+				}
+				e.Close()
+				log := out.String()
+				assert.Equal(t, strings.Count(log, `"Event":"RevisionInForce"`), 1)
+				assert.Assert(t, strings.Contains(log, `"Event":"LinesDropped","Kind":"requests"`))
+				assert.Assert(t, !strings.Contains(log, `"Kind":"changes"`))
+			})
+		})
+	}
+}
+
+// TestDroppedChangesAreReported guards against a dropped line that is reported only with the next one, which may come much
+// later.
+func TestDroppedChangesAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		e := emitter.New(&out)
+		for range 500 {
+			_, _ = e.Write([]byte("x\n"))
+			synctest.Wait()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(out.String(), `"Event":"LinesDropped","Kind":"changes","Lines":100,`), "%s", out.String())
+		e.Close()
+	})
+}
+
+// newRecorder returns functions that record an event of a request, without an identifier, and one of a change.
+func newRecorder(e *emitter.Emitter) (request, change func()) {
+	newLog := func(output io.Writer) logrus.FieldLogger {
+		log := logrus.New()
+		log.SetOutput(output)
+		log.SetFormatter(&logrus.JSONFormatter{})
+		return log
+	}
+	r := recorder.NewWithRequestLog("n", time.Now, newLog(e), newLog(e.Requests()))
+	request = func() { r.Record(eelgrasspoint.Event{Number: eelgrasspoint.EventRequestRefused}) }
+	change = func() { r.Record(eelgrasspoint.Event{Number: eelgrasspoint.EventRevisionInForce}) }
+	return request, change
+}
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -19,6 +19,8 @@
 	node      string
 	wallClock eelgrasspoint.Clock
 	log       logrus.FieldLogger
+	// requestLog gets the lines of requests.
+	requestLog logrus.FieldLogger
 
 	mu sync.Mutex
 	// wall and logical are the latest timestamp of the hybrid logical clock.
@@ -33,7 +35,12 @@
 
 // New returns an empty recorder of the node.
 func New(node string, wallClock eelgrasspoint.Clock, log logrus.FieldLogger) *Recorder {
-	return &Recorder{node: node, wallClock: wallClock, log: log}
+	return NewWithRequestLog(node, wallClock, log, log)
+}
+
+// NewWithRequestLog returns an empty recorder that writes the lines of requests to a log of their own.
+func NewWithRequestLog(node string, wallClock eelgrasspoint.Clock, log, requestLog logrus.FieldLogger) *Recorder {
+	return &Recorder{node: node, wallClock: wallClock, log: log, requestLog: requestLog}
 }
 
 // Lengths of the texts of an event, which may come from a caller. What is longer is cut.
@@ -169,7 +176,15 @@
 	for _, input := range event.Inputs {
 		fields[input.Name] = input.Value
 	}
-	r.log.WithFields(fields).Log(logLevel(event.Number), event.Detail)
+	r.logOf(&event).WithFields(fields).Log(logLevel(event.Number), event.Detail)
+}
+
+// logOf returns the log that gets the event.
+func (r *Recorder) logOf(event *eelgrasspoint.Event) logrus.FieldLogger {
+	if event.RequestID != "" || event.Number.PerRequest() {
+		return r.requestLog
+	}
+	return r.log
 }
 
 // logLevel returns the log level of an event: warning for the events that it lists, info for all
