Metrics: how long each step of a change takes at a node, and the age of the last read

What callers saw as "confirmed changes not in force" may be a change that is slow on the way, and no metric said so.

eelgrass_configuration_seconds{step} has the steps read (the answer of the table service after its first byte, so without the wait for a change, or the whole call for a read of all rows), decode (from there to the configuration), fetch (from another node) and apply (from the submission to the control state until it is published to requests). It is observed once per change: not for reads that bring nothing new, and apply only if what is in force changed. RevisionInForce lines have the first two as ReadMilliseconds and DecodeMilliseconds. eelgrass_configuration_read_age_seconds is the age of the last successful read.

The sender notes the times of a call in a timer that the runner puts into the context of a read, so that sources and tables need no change. Controller.Replace submits a configuration and waits for it, as runner and fetcher did on their own before.

--- a/configuration.go
+++ b/configuration.go
@@ -166,6 +166,9 @@
 	Node string
 	// Took is how long the call lasted, with the wait for a change.
 	Took time.Duration
+	// Read is how long the answer of the table service took after its first byte, or the whole last call of a StoreScan, and Decode how
+	// long it took from there to the configuration. Both are zero if unknown.
+	Read, Decode time.Duration
 	// InForceAt is when the node put the configuration in force.
 	InForceAt time.Time
 }
@@ -221,3 +224,17 @@
 	_, _ = fmt.Fprintf(hash, "%+v", *d)
 	return hash.Sum64()
 }
+
+//go:generate stringer -type=ConfigurationStep -linecomment -output=configurationstep_string.go
+
+// ConfigurationStep is a step of a change on its way to a node.
+type ConfigurationStep int
+
+// Steps of a change: the answer of the table service, its decoding, the fetch from another node, and the time from there until
+// the configuration is published to the node's requests.
+const (
+	StepRead   ConfigurationStep = iota // read
+	StepDecode                          // decode
+	StepFetch                           // fetch
+	StepApply                           // apply
+)
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -70,6 +70,11 @@
 	inputs := append(c.configuration.OriginInputs(),
 		eelgrasspoint.Input{Name: "Digest", Value: formatDigest(c.digest)},
 		eelgrasspoint.Input{Name: "TookMilliseconds", Value: c.configuration.Provenance.Took.Milliseconds()})
+	if read, decode := c.configuration.Provenance.Read, c.configuration.Provenance.Decode; read > 0 || decode > 0 {
+		inputs = append(inputs,
+			eelgrasspoint.Input{Name: "ReadMilliseconds", Value: read.Milliseconds()},
+			eelgrasspoint.Input{Name: "DecodeMilliseconds", Value: decode.Milliseconds()})
+	}
 	c.options.Recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + eelgrasspoint.FormatRevision(c.configuration.Revision), Inputs: inputs,
 	})
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -78,6 +78,8 @@
 	// SetBudgets receives the document of each new revision and the number of nodes alive in the
 	// region at that time. It is not called when that number changes later. It is optional.
 	SetBudgets func(document *eelgrasspoint.Document, nodesInRegion int)
+	// ObserveApply is called with the time that Replace took for a change; it is optional.
+	ObserveApply func(took time.Duration)
 }
 
 // Command changes the control state.
@@ -152,6 +154,16 @@
 	}
 }
 
+// Replace submits a configuration and waits until it is reconciled with the one in force, and the result is published.
+func (c *Controller) Replace(configuration eelgrasspoint.Configuration) {
+	startedAt, previous := c.options.Clock(), c.Configuration()
+	c.Submit(ReplaceConfiguration{Configuration: configuration})
+	applied := c.WaitApplied()
+	if applied && c.Configuration() != previous && c.options.ObserveApply != nil {
+		c.options.ObserveApply(c.options.Clock().Sub(startedAt))
+	}
+}
+
 // View returns the last published membership view.
 func (c *Controller) View() *eelgrasspoint.MembershipView { return c.view.Load() }
 
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -129,8 +129,8 @@
 	configuration.Provenance = eelgrasspoint.Provenance{
 		Origin: eelgrasspoint.OtherNode, Node: m.Name, Took: f.options.Clock().Sub(current.startedAt),
 	}
-	f.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
-	f.options.Controller.WaitApplied()
+	f.options.Meter.ObserveConfiguration(eelgrasspoint.StepFetch, configuration.Provenance.Took)
+	f.options.Controller.Replace(configuration)
 }
 
 func (f *Fetcher) recordFailure(m eelgrasspoint.Member, after uint64, err error) {
--- a/runner/build.go
+++ b/runner/build.go
@@ -66,7 +66,7 @@
 		Holder: r.holder, Recorder: r.recorder, Clock: clock,
 		SetBackend: r.executor.SetBackend, SetBudgets: r.setBudgets,
 		AnnouncementTTL: r.settings.AnnouncementTTL, SetCold: r.admitter.SetCold, ZoneBack: r.executor.InvalidateReports,
-		Restoring: true, Confirm: r.confirmation(),
+		Restoring: true, Confirm: r.confirmation(), ObserveApply: r.observeApply,
 	})
 	r.fetcher = fetcher.New(fetcher.Options{
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -142,7 +142,7 @@
 	r.controlDialer = dialer.New(options.Dial)
 	r.recorder = recorder.NewWithRequestLog(r.settings.Name, options.Clock, options.Log, options.RequestLog)
 	r.holder = holder.New(&eelgrasspoint.Snapshot{Configuration: &eelgrasspoint.Configuration{}})
-	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, RefusedRoutes: r.refusedRoutes, ControlBytes: r.controlDialer.Bytes})
+	r.meter = meter.New(meter.Source{Load: r.load, Notice: r.notice, Revision: r.revision, Members: r.nodeCount, RefusedRoutes: r.refusedRoutes, ReadAge: r.readAge, ControlBytes: r.controlDialer.Bytes})
 	r.linkBudget = budgeter.New(eelgrasspoint.LinkBytesPerSecond, options.Clock)
 	r.measuringBudget = budgeter.New(eelgrasspoint.MeasuringBytesPerSecond, options.Clock)
 	r.buildDataPlane()
--- a/runner/source.go
+++ b/runner/source.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"eelgrasspoint"
-	"eelgrasspoint/coordination/controller"
 	"eelgrasspoint/state/publisher"
+	"eelgrasspoint/transport/timer"
 )
 
 // Back-off after failed reads of the configuration, before jitter.
@@ -62,8 +62,9 @@
 // reconciles it with the one in force.
 func (r *Runner) followConfiguration(ctx context.Context) {
 	backoff := minSourceBackoff
+	var previous eelgrasspoint.Configuration
 	for ctx.Err() == nil {
-		configuration, err := r.source.Next(ctx)
+		configuration, err := r.readConfiguration(ctx)
 		if err != nil && !r.recordUsable(err) {
 			r.recordStoreDown(ctx, err)
 			r.sleepJittered(ctx, backoff)
@@ -74,13 +75,51 @@
 		r.holder.MarkRead(r.options.Clock())
 		r.recordStoreBack()
 		if configuration.Revision > 0 {
-			r.controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
-			r.controller.WaitApplied()
+			if configuration.Revision != previous.Revision || configuration.Version != previous.Version {
+				r.observeRead(&configuration.Provenance)
+			}
+			previous = configuration
+			r.controller.Replace(configuration)
 			r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
 		}
 	}
 }
 
+// readConfiguration waits for a published configuration, and measures how long the steps took.
+func (r *Runner) readConfiguration(ctx context.Context) (eelgrasspoint.Configuration, error) {
+	call := timer.New()
+	configuration, err := r.source.Next(call.Context(ctx))
+	if took, ok := call.Durations(); ok {
+		provenance := &configuration.Provenance
+		provenance.Read, provenance.Decode = took.Answer, took.Rest
+		if provenance.Origin == eelgrasspoint.StoreScan {
+			provenance.Read = took.Call
+		}
+	}
+	return configuration, err
+}
+
+// observeRead observes how long the steps of a read took, if they are known.
+func (r *Runner) observeRead(provenance *eelgrasspoint.Provenance) {
+	if provenance.Read == 0 && provenance.Decode == 0 {
+		return
+	}
+	r.meter.ObserveConfiguration(eelgrasspoint.StepRead, provenance.Read)
+	r.meter.ObserveConfiguration(eelgrasspoint.StepDecode, provenance.Decode)
+}
+
+// observeApply observes the time from the submission of a configuration until it was published.
+func (r *Runner) observeApply(took time.Duration) {
+	r.meter.ObserveConfiguration(eelgrasspoint.StepApply, took)
+}
+
+// readAge returns the time since the configuration was last read from the table service. It reports false before the first
+// read.
+func (r *Runner) readAge() (time.Duration, bool) {
+	at := r.holder.ReadAt()
+	return r.options.Clock().Sub(at), !at.IsZero()
+}
+
 // recordUsable records what an error says of the configuration that was returned with it. It reports false for an error
 // without a configuration.
 func (r *Runner) recordUsable(err error) bool {
--- a/state/meter/meter.go
+++ b/state/meter/meter.go
@@ -29,6 +29,7 @@
 	panics                *prometheus.CounterVec
 	restricted            *prometheus.CounterVec
 	restores              prometheus.Counter
+	configurations        *prometheus.HistogramVec
 }
 
 // Source provides the values that are read at each scrape.
@@ -39,6 +40,9 @@
 	Notice func() eelgrasspoint.ServerNotice
 	// Revision returns the revision of the configuration in force.
 	Revision func() uint64
+	// ReadAge returns the time since the configuration was last read from the table service. It reports false before the
+	// first read.
+	ReadAge func() (age time.Duration, read bool)
 	// RefusedRoutes returns the number of routes whose requests are refused, since the node can't read their definition.
 	RefusedRoutes func() int
 	// Members returns the number of nodes known to be alive, including the node itself.
@@ -80,7 +84,12 @@
 	m.restores = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "store_restores_total", Help: "Times that the node found the table service to have come back from a copy.",
 	})
-	m.registry.MustRegister(m.restores, m.cutShort, m.panics, m.restricted, m.healthChecks, m.arrivals, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
+	m.configurations = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "configuration_seconds",
+		Help:    "Time that a change of the configuration took, by step: read, decode, fetch or apply.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"step"})
+	m.registry.MustRegister(m.configurations, m.restores, m.cutShort, m.panics, m.restricted, m.healthChecks, m.arrivals, m.requests, m.requestsWithoutAnswer, m.attempts, m.hedges, m.measuringBytes, m.linkBytes, m.storeCalls, m.exchangeMessages)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerSourceMetrics(source)
 	return m
@@ -115,6 +124,11 @@
 // CountRestore counts that the table service has come back from a copy.
 func (m *Meter) CountRestore() { m.restores.Inc() }
 
+// ObserveConfiguration observes the duration of one step of a change of the configuration.
+func (m *Meter) ObserveConfiguration(step eelgrasspoint.ConfigurationStep, took time.Duration) {
+	m.configurations.WithLabelValues(step.String()).Observe(took.Seconds())
+}
+
 // CountRestricted counts a request that a server refused for the memory that it would use.
 func (m *Meter) CountRestricted(server string) { m.restricted.WithLabelValues(server).Inc() }
 
@@ -164,6 +178,12 @@
 		return math.Inf(1)
 	})
 	gauge("revision", "Revision of the configuration in force.", func() float64 { return float64(source.Revision()) })
+	gauge("configuration_read_age_seconds", "Time since the configuration was last read from the table service, or +Inf before the first read.", func() float64 {
+		if age, read := source.ReadAge(); read {
+			return age.Seconds()
+		}
+		return math.Inf(1)
+	})
 	gauge("refused_routes", "Routes in force whose requests are refused, since the node can't read their definition.", func() float64 { return float64(source.RefusedRoutes()) })
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "exchange_bytes_total",
--- a/state/meter/meter_test.go
+++ b/state/meter/meter_test.go
@@ -20,7 +20,7 @@
 	m := meter.New(meter.Source{
 		Notice: func() eelgrasspoint.ServerNotice { return eelgrasspoint.ServerNotice{} },
 		Load:   func() eelgrasspoint.Load { return eelgrasspoint.Load{} }, Revision: func() uint64 { return 1 },
-		Members: func() int { return 1 }, RefusedRoutes: func() int { return 0 }, ControlBytes: func() (int64, int64) { return 1, 1 },
+		Members: func() int { return 1 }, RefusedRoutes: func() int { return 0 }, ReadAge: func() (time.Duration, bool) { return 0, false }, ControlBytes: func() (int64, int64) { return 1, 1 },
 	})
 	m.ObserveRequest("s", eelgrasspoint.Answered, time.Millisecond)
 	m.CountWithoutAnswer("s", eelgrasspoint.NoRoute)
@@ -33,6 +33,7 @@
 	m.CountCutShort("s", &eelgrasspoint.AnswerCutShortError{})
 	m.CountPanic("callers")
 	m.CountRestricted("callers")
+	m.ObserveConfiguration(eelgrasspoint.StepApply, time.Millisecond)
 	families, err := m.Registry().Gather()
 	assert.NilError(t, err)
 	count := 0
--- a/transport/sender/sender.go
+++ b/transport/sender/sender.go
@@ -14,6 +14,7 @@
 
 	"eelgrasspoint"
 	"eelgrasspoint/transport/dialer"
+	"eelgrasspoint/transport/timer"
 )
 
 // maxResponseBytes bounds a response body.
@@ -60,7 +61,9 @@
 		request.Body = io.NopCloser(bytes.NewReader(body))
 		request.ContentLength = int64(len(body))
 	}
+	end := timer.Begin(ctx)
 	result := s.send(request)
+	end()
 	if errors.Is(result.Err, context.DeadlineExceeded) {
 		// The idle connections may be dead, too.
 		s.client.CloseIdleConnections()
