--- a/configuration.go
+++ b/configuration.go
@@ -173,6 +173,42 @@
 	Node string
 	// Took is how long the call lasted, with the wait for a change.
 	Took time.Duration
+	// Read is how long the answer of the table service took after its first byte, or the whole last call of a StoreScan, and Decode how
+	// long it took from there to the configuration. Both are zero if unknown.
+	Read, Decode time.Duration
+	// InForceAt is when the node put the configuration in force.
+	InForceAt time.Time
+}
+
+// Inputs returns what the log line of a decision says of the configuration that it was based on. readAt is the time of the
+// last successful read of the table service, zero if there was none.
+func (c *Configuration) Inputs(now, readAt time.Time) []Input {
+	inputs := c.OriginInputs()
+	if !c.Provenance.InForceAt.IsZero() {
+		inputs = append(inputs, Input{Name: "InForceMilliseconds", Value: now.Sub(c.Provenance.InForceAt).Milliseconds()})
+	}
+	if !readAt.IsZero() {
+		inputs = append(inputs, Input{Name: "ReadAgeMilliseconds", Value: now.Sub(readAt).Milliseconds()})
+	}
+	return inputs
+}
+
+// OriginInputs returns the numbers of the configuration, besides its revision, and where the node got it from.
+func (c *Configuration) OriginInputs() []Input {
+	inputs := []Input{{Name: "Origin", Value: c.Provenance.Origin.String()}}
+	if c.Provenance.Node != "" {
+		inputs = append(inputs, Input{Name: "From", Value: c.Provenance.Node})
+	}
+	if epoch := c.Revision.Epoch; epoch != 0 {
+		inputs = append(inputs, Input{Name: "Epoch", Value: epoch})
+	}
+	if c.Version != 0 {
+		inputs = append(inputs, Input{Name: "Version", Value: c.Version})
+	}
+	if c.NumberingEpoch != 0 {
+		inputs = append(inputs, Input{Name: "NumberingEpoch", Value: c.NumberingEpoch})
+	}
+	return inputs
 }
 
 //go:generate stringer -type=Origin -output=origin_string.go
@@ -198,3 +234,17 @@
 	_, _ = fmt.Fprintf(hash, "%+v", *d)
 	return hash.Sum64()
 }
+
+//go:generate stringer -type=ConfigurationStep -linecomment -output=configurationstep_string.go
+
+// ConfigurationStep is a step of a change on its way to a node.
+type ConfigurationStep int
+
+// Steps of a change: the answer of the table service, its decoding, the fetch from another node, and the time from there until
+// the configuration is published to the node's requests.
+const (
+	StepRead   ConfigurationStep = iota // read
+	StepDecode                          // decode
+	StepFetch                           // fetch
+	StepApply                           // apply
+)
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -35,8 +35,11 @@
 	gossipUntil   map[string]time.Time
 	configuration *eelgrasspoint.Configuration
 	stored        storedDocument
-	router        *router.Router
-	announcedAt   time.Time
+	// digest is that of the document in force.
+	digest      uint64
+	unused      unusedReads
+	router      *router.Router
+	announcedAt time.Time
 	// draining is set by Drain and Leave and never reset. For a backend server that announced that
 	// it is draining, see lifetime.
 	draining bool
@@ -76,6 +79,8 @@
 	// SetBudgets receives the document of each new revision and the number of nodes alive in the
 	// region at that time. It is not called when that number changes later. It is optional.
 	SetBudgets func(document *eelgrasspoint.Document, nodesInRegion int)
+	// ObserveApply is called with the time that Replace took for a change; it is optional.
+	ObserveApply func(took time.Duration)
 }
 
 // Command changes the control state.
@@ -101,6 +106,7 @@
 		restored:         !options.Restoring,
 		startedAt:        options.Clock(),
 	}
+	c.digest = c.configuration.Document.Digest()
 	c.router = router.New(&c.configuration.Document)
 	c.members[c.self.Name] = c.self
 	c.publish()
@@ -149,6 +155,16 @@
 	}
 }
 
+// Replace submits a configuration and waits until it is reconciled with the one in force, and the result is published.
+func (c *Controller) Replace(configuration eelgrasspoint.Configuration) {
+	startedAt, previous := c.options.Clock(), c.Configuration()
+	c.Submit(ReplaceConfiguration{Configuration: configuration})
+	applied := c.WaitApplied()
+	if applied && c.Configuration() != previous && c.options.ObserveApply != nil {
+		c.options.ObserveApply(c.options.Clock().Sub(startedAt))
+	}
+}
+
 // View returns the last published membership view.
 func (c *Controller) View() *eelgrasspoint.MembershipView { return c.view.Load() }
 
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -130,8 +130,8 @@
 	configuration.Provenance = eelgrasspoint.Provenance{
 		Origin: eelgrasspoint.OtherNode, Node: m.Name, Took: f.options.Clock().Sub(current.startedAt),
 	}
-	f.options.Controller.Submit(controller.ReplaceConfiguration{Configuration: configuration})
-	f.options.Controller.WaitApplied()
+	f.options.Meter.ObserveConfiguration(eelgrasspoint.StepFetch, configuration.Provenance.Took)
+	f.options.Controller.Replace(configuration)
 }
 
 func (f *Fetcher) recordFailure(m eelgrasspoint.Member, after eelgrasspoint.Revision, err error) {
