router: match a host in any case, with its final dot, and as an IPv6 address

A caller that wrote the host in another case than the operators, or with the final dot of a full name, was told 404 (NoRoute) though its route was in force; so was every caller of a listener whose host the operators wrote with capitals, a dot or a port. Hosts were compared byte by byte, though they have no case (RFC 9110, 4.2.3), and only the request's port was removed.

Router and requests now bring the host into one form. The forwarder passes the host as the request has it.

--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -58,7 +57,7 @@
 // a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
-	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
+	p.matchedRoute = p.snapshot.Router.Match(r.Host, r.URL.Path, r.Method)
 	if p.matchedRoute == nil && p.snapshot.Configuration.Revision == 0 {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
@@ -241,10 +240,3 @@
 	maxWait := time.Duration(eelgrasspoint.MaxQueueWaitRatio * float64(target))
 	return target > 0 && p.forwarder.Clock().Sub(p.start) > maxWait
 }
-
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -38,10 +38,11 @@
 	if !route.Refuses() || r.byName[route.Name] == nil {
 		r.byName[route.Name] = route
 	}
-	segments := r.byHost[route.Host]
+	host := hostName(route.Host)
+	segments := r.byHost[host]
 	if segments == nil {
 		segments = make(map[string][]*eelgrasspoint.Route)
-		r.byHost[route.Host] = segments
+		r.byHost[host] = segments
 	}
 	key := indexSegment(route.PathPrefix)
 	routes := append(segments[key], route)
@@ -55,9 +56,10 @@
 	segments[key] = routes
 }
 
-// Match returns the matching route with the longest path prefix, or nil. Routes for the host come before
-// routes for any host, whatever their prefixes.
+// Match returns the matching route with the longest path prefix, or nil. Routes for the host, which may have a port, come
+// before routes for any host, whatever their prefixes.
 func (r *Router) Match(host, path, method string) *eelgrasspoint.Route {
+	host = hostName(host)
 	if route := matchSegments(r.byHost[host], path, method); route != nil {
 		return route
 	}
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -56,6 +56,36 @@
 	}
 }
 
+// TestHostIsMatchedInAllItsForms guards against a proper request that is told that its route does not exist, since the
+// operators or the caller wrote the host in another form.
+func TestHostIsMatchedInAllItsForms(t *testing.T) {
+	cases := []struct{ configured, requested string }{
+		{"desk.example", "desk.example"},
+		{"desk.example", "Desk.EXAMPLE"},
+		{"Desk.Example", "desk.example"},
+		{"desk.example", "desk.example:8304"},
+		{"desk.example", "desk.example:"},
+		{"desk.example", "DESK.example.:8304"},
+		{"desk.example.", "desk.example"},
+		{"desk.example:8304", "desk.example:8304"},
+		{"desk.example:8304", "desk.example"},
+		{"10.0.0.7", "10.0.0.7:80"},
+		{"::1", "[::1]:8304"},
+		{"::1", "[::1]"},
+		{"[::1]", "[::1]:8304"},
+		{"[FE80::1]:80", "[fe80::1]"},
+	}
+	for _, c := range cases {
+		t.Run(c.configured+" as "+c.requested, func(t *testing.T) {
+			r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+				{Name: "any host", PathPrefix: "/"}, {Name: "hosted", Host: c.configured, PathPrefix: "/lots/"},
+			}})
+			assert.Equal(t, r.Match(c.requested, "/lots/7", "GET").Name, "hosted")
+			assert.Equal(t, r.Match("other.example", "/lots/7", "GET").Name, "any host")
+		})
+	}
+}
+
 func TestPermittedIsIntersectionOfHomeRegions(t *testing.T) {
 	r := router.New(document)
 	cases := []struct {
