router: compare a path with the prefixes in one form of its escapes

A caller of a route whose prefix the operators wrote with an escape, such as /caf%C3%A9/, was told 404 (NoRoute) though the prefix begins the path: prefixes were compared as written, paths decoded. And a path with an escaped slash ran at the service of a prefix that does not begin it (/lots%2Fbids/7 at /lots/bids/), since the slash was decoded too; to a backend server it is a part of one segment.

Paths and prefixes are now both decoded, except for escaped slashes and percent signs. A percent sign in a prefix that begins no escape stands for itself.

--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -57,7 +57,7 @@
 // a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
-	p.matchedRoute = p.snapshot.Router.Match(r.Host, r.URL.Path, r.Method)
+	p.matchedRoute = p.snapshot.Router.Match(r.Host, r.URL.EscapedPath(), r.Method)
 	if p.matchedRoute == nil && p.snapshot.Configuration.Revision == 0 {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -13,15 +13,21 @@
 type Router struct {
 	// byHost holds the routes by host and first path segment, those with longer prefixes first, then those
 	// that list more methods, then by name. An empty host or segment matches any.
-	byHost  map[string]map[string][]*eelgrasspoint.Route
+	byHost  map[string]map[string][]entry
 	byName  map[string]*eelgrasspoint.Route
 	clients map[string]*eelgrasspoint.Client
 }
 
+// entry is a route with its path prefix in the form in which prefixes are compared.
+type entry struct {
+	*eelgrasspoint.Route
+	prefix string
+}
+
 // New returns the index of a document.
 func New(document *eelgrasspoint.Document) *Router {
 	r := &Router{
-		byHost:  make(map[string]map[string][]*eelgrasspoint.Route),
+		byHost:  make(map[string]map[string][]entry),
 		byName:  make(map[string]*eelgrasspoint.Route, len(document.Routes)),
 		clients: make(map[string]*eelgrasspoint.Client, len(document.Clients)),
 	}
@@ -41,14 +47,15 @@
 	host := hostName(route.Host)
 	segments := r.byHost[host]
 	if segments == nil {
-		segments = make(map[string][]*eelgrasspoint.Route)
+		segments = make(map[string][]entry)
 		r.byHost[host] = segments
 	}
-	key := indexSegment(route.PathPrefix)
-	routes := append(segments[key], route)
-	slices.SortStableFunc(routes, func(a, b *eelgrasspoint.Route) int {
+	prefix := decodedPath(route.PathPrefix)
+	key := indexSegment(prefix)
+	routes := append(segments[key], entry{route, prefix})
+	slices.SortStableFunc(routes, func(a, b entry) int {
 		return cmp.Or(
-			cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+			cmp.Compare(len(b.prefix), len(a.prefix)),
 			cmp.Compare(len(b.Methods), len(a.Methods)),
 			strings.Compare(a.Name, b.Name),
 		)
@@ -57,9 +64,9 @@
 }
 
 // Match returns the matching route with the longest path prefix, or nil. Routes for the host, which may have a port, come
-// before routes for any host, whatever their prefixes.
+// before routes for any host, whatever their prefixes. The path is that of the request target, with its escapes.
 func (r *Router) Match(host, path, method string) *eelgrasspoint.Route {
-	host = hostName(host)
+	host, path = hostName(host), decodedPath(path)
 	if route := matchSegments(r.byHost[host], path, method); route != nil {
 		return route
 	}
@@ -91,17 +98,17 @@
 	return common, len(common) > 0
 }
 
-func matchSegments(segments map[string][]*eelgrasspoint.Route, path, method string) *eelgrasspoint.Route {
+func matchSegments(segments map[string][]entry, path, method string) *eelgrasspoint.Route {
 	if route := matchRoutes(segments[firstSegment(path)], path, method); route != nil {
 		return route
 	}
 	return matchRoutes(segments[""], path, method)
 }
 
-func matchRoutes(routes []*eelgrasspoint.Route, path, method string) *eelgrasspoint.Route {
-	for _, route := range routes {
-		if matchesPrefix(route.PathPrefix, path) && methodAllowed(route.Methods, method) {
-			return route
+func matchRoutes(routes []entry, path, method string) *eelgrasspoint.Route {
+	for _, e := range routes {
+		if matchesPrefix(e.prefix, path) && methodAllowed(e.Methods, method) {
+			return e.Route
 		}
 	}
 	return nil
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -86,6 +87,40 @@
 	}
 }
 
+// TestPathIsMatchedInAllItsForms guards against a proper request that is told that its route does not exist, or runs at the
+// service of another prefix, since the operators or the caller encoded a part of the path.
+func TestPathIsMatchedInAllItsForms(t *testing.T) {
+	cases := []struct{ prefix, path, route string }{
+		{"/lots/", "/%6Cots/7", "prefix"},
+		{"/lots/", "/lots/%2F", "prefix"},
+		{"/lots/", "/lots%2F7", "all"},
+		{"/lots/", "/lots%2f", "all"},
+		{"/lots/bids/", "/lots%2Fbids/7", "all"},
+		{"/lots%2fbids/", "/lots%2Fbids/7", "prefix"},
+		{"/lots%2Fbids/", "/lots/bids/7", "all"},
+		{"/caf%C3%A9/", "/caf%c3%a9/7", "prefix"},
+		{"/caf\u00e9/", "/caf%C3%A9/7", "prefix"},
+		{"/a%20b/", "/a%20b/7", "prefix"},
+		{"/a b/", "/a%20b/7", "prefix"},
+		{"/a%25b/", "/a%25b/7", "prefix"},
+		{"/a%b/", "/a%25b/7", "prefix"},
+		{"/a%2Fb/", "/a%252Fb/7", "all"},
+		{"/a/../b/", "/a/%2e%2E/b/7", "prefix"},
+		{"/b/", "/a/../b/7", "all"},
+		{"/%2F/", "/%2f/7", "prefix"},
+	}
+	for _, c := range cases {
+		t.Run(c.path+" with "+c.prefix, func(t *testing.T) {
+			target, err := url.ParseRequestURI(c.path)
+			assert.NilError(t, err)
+			r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+				{Name: "all", PathPrefix: "/"}, {Name: "prefix", PathPrefix: c.prefix},
+			}})
+			assert.Equal(t, r.Match("", target.EscapedPath(), "GET").Name, c.route)
+		})
+	}
+}
+
 func TestPermittedIsIntersectionOfHomeRegions(t *testing.T) {
 	r := router.New(document)
 	cases := []struct {
--- a/request.go
+++ b/request.go
@@ -121,7 +121,8 @@
 
 // Router matches requests to routes.
 type Router interface {
-	// Match returns the route for a request, or nil. The host is that of the request, with its port if it has one.
+	// Match returns the route for a request, or nil. The host is that of the request, with its port if it has one, and
+	// the path that of its target, with its escapes.
 	Match(host, path, method string) *Route
 	// Route returns the route with the name, or nil.
 	Route(name string) *Route
