controller: tell a late announcement whose sequence is zero

A backend server that counts its announcements from zero and names its start time could be set back by a late first announcement: its slow start and slots of then came back, and since the sequence began again at zero, so could every other late announcement. Zero counted as unknown, as in the project's own form.

With a start time, zero is the lowest sequence. Without one it stays unknown, and announcements are applied in order of arrival.

The two cases of TestStaleAnnouncements with a late first sequence were red before; the two others with zero were green before and stay so.

--- a/coordination/controller/lifetime.go
+++ b/coordination/controller/lifetime.go
@@ -44,7 +44,7 @@
 	if !l.isCurrent(a) || l.deregistered && identifiesLifetime(a) {
 		return false
 	}
-	if a.Sequence != 0 && a.Sequence <= l.sequence {
+	if l.isLate(a) {
 		return false
 	}
 	l.sequence = a.Sequence
@@ -53,6 +53,15 @@
 	return true
 }
 
+// isLate reports whether an announcement of the current lifetime has a lower sequence than the last one. Zero is unknown
+// without an incarnation, and the lowest sequence with one.
+func (l *lifetime) isLate(a *eelgrasspoint.Announcement) bool {
+	if a.Sequence == 0 && a.Incarnation == 0 {
+		return false
+	}
+	return l.sequence != 0 && a.Sequence <= l.sequence
+}
+
 // beginsLifetime reports whether the announcement begins a new lifetime: it has a higher incarnation
 // or, if it has no incarnation, another ID.
 func (l *lifetime) beginsLifetime(a *eelgrasspoint.Announcement) bool {
--- a/coordination/controller/lifetime_test.go
+++ b/coordination/controller/lifetime_test.go
@@ -77,6 +77,11 @@
 		{"deregisters without incarnation", []eelgrasspoint.Announcement{registration("a", 5, 3, false), deregistration("a", 0)}, deregistered, ""},
 		{"deregisters before its registration arrives", []eelgrasspoint.Announcement{deregistration("a", 5), registration("a", 5, 4, false)}, deregistered, ""},
 		{"deregisters without incarnation before its registration arrives", []eelgrasspoint.Announcement{deregistration("a", 0), registration("a", 5, 4, false)}, deregistered, ""},
+		{"late announcement with the first sequence", []eelgrasspoint.Announcement{registration("a", 5, 0, false), registration("a", 5, 3, false), registration("a", 5, 0, true)}, ready, "a"},
+		{"two late announcements, the first of them with the first sequence", []eelgrasspoint.Announcement{registration("a", 5, 3, false), registration("a", 5, 0, false), registration("a", 5, 2, true)}, ready, "a"},
+		{"sequences from zero", []eelgrasspoint.Announcement{registration("a", 5, 0, false), registration("a", 5, 1, true)}, draining, "a"},
+		// Without an incarnation, a sequence of zero is unknown.
+		{"no sequence after one", []eelgrasspoint.Announcement{registration("a", 0, 3, false), registration("a", 0, 0, true)}, draining, "a"},
 		// A registration in the project's own form has an incarnation, but no ID and no sequence; its deregistration
 		// has neither.
 		{"late registration after a deregistration, without ID", []eelgrasspoint.Announcement{registration("", 5, 0, false), deregistration("", 0), registration("", 5, 0, false)}, deregistered, ""},
