executor: keep to the number of connections that is in force

A node that knew its backend server before the configuration, or for which the operators lowered MaxConnections, went on with the number of connections that it had at the server's announcement (256 without a configuration): the server resets those beyond the number, and requests on them end as lost. The announcement has the new number, but the connection pool was made anew for another lifetime only.

Another number now replaces the pool; runs in flight end on their connections of the old one.

--- /dev/null
+++ b/coordination/executor/connections_test.go
@@ -0,0 +1,61 @@
+package executor_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"eelgrasspoint"
+)
+
+// TestNewNumberOfConnectionsIsInForce guards against a backend server that resets connections, since the node learned the
+// number that it accepts after its announcement, or the operators lowered it.
+func TestNewNumberOfConnectionsIsInForce(t *testing.T) {
+	var mu sync.Mutex
+	var running, highest int
+	var address atomic.Value
+	e, _, _ := newExecutorFor(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address.Store(r.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
+		if r.URL.Path == "/health" {
+			w.Header().Set(slownessHeader, "1")
+			return
+		}
+		mu.Lock()
+		running++
+		highest = max(highest, running)
+		mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		mu.Lock()
+		running--
+		mu.Unlock()
+	}))
+	runThree := func() int {
+		highest = 0
+		var runs sync.WaitGroup
+		for range 3 {
+			runs.Go(func() {
+				answer, err := e.RoundTrip(t.Context(), nil, newAttempt(true, time.Second))
+				assert.Check(t, err)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, answer.Response.Body)
+					_ = answer.Response.Body.Close()
+				}
+			})
+		}
+		runs.Wait()
+		return highest
+	}
+	assert.Assert(t, runThree() > 1)
+	server := netip.MustParseAddrPort(address.Load().(string))
+	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: server, Incarnation: 1, Slots: 4, Connections: 1})
+	assert.Equal(t, runThree(), 1)
+	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: server, Incarnation: 1, Slots: 4, Connections: 4})
+	assert.Assert(t, runThree() > 1)
+}
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -78,7 +78,7 @@
 // SetBackend sets the announced backend server, or nil if it left. It opens the admitter, or closes it if
 // there is no server or the server is draining. A server with a new incarnation or address, or one that
 // is announced while there is none, counts as restarted: its announcement resets the admitter, load
-// report, health state and connections, and confirms a pending crash.
+// report, health state and connections, and confirms a pending crash. Another number of connections replaces them, too.
 func (e *Executor) SetBackend(backend *eelgrasspoint.BackendServer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -104,6 +104,10 @@
 		e.detector.Reset()
 		e.replaceTransport(backend)
 		e.confirmCrash()
+		return
+	}
+	if previous.Connections != backend.Connections {
+		e.replaceTransport(backend)
 	}
 }
 
