Rows of the table service: leave out fields of a later version of the program

The three kinds of rows are now read without them. The row of the project's own configuration (package publisher) is still read strictly: who changes it writes it anew, and would lose the fields.

TestRowOfALaterVersionIsRead was red before in replicator (no departure) and persister (Clean in place of Quarantined).

--- a/coordination/persister/persister.go
+++ b/coordination/persister/persister.go
@@ -186,7 +186,7 @@
 
 func parse(row eelgrasspoint.Row) (eelgrasspoint.Quarantine, error) {
 	var message schema.Quarantine
-	if err := protojson.Unmarshal(row.Value, &message); err != nil {
+	if err := translator.ParseRow(row.Value, &message); err != nil {
 		return eelgrasspoint.Quarantine{}, err
 	}
 	if row.Key != rowKey(message.GetFingerprint()) {
--- a/coordination/persister/persister_test.go
+++ b/coordination/persister/persister_test.go
@@ -120,6 +120,23 @@
 	})
 }
 
+// TestRowOfALaterVersionIsRead guards against a quarantine that is forgotten, or whose row is deleted, since another node
+// runs a later version of the program, which writes fields that this one doesn't know.
+func TestRowOfALaterVersionIsRead(t *testing.T) {
+	table := storer.New()
+	value, err := protojson.Marshal(translator.QuarantineRow(eelgrasspoint.Quarantine{Fingerprint: 1, ExpiresAt: time.Now().Add(time.Minute)}))
+	assert.NilError(t, err)
+	write := eelgrasspoint.Write{
+		Key: fmt.Sprintf("quarantine/%016x", 1), Value: []byte(strings.Replace(string(value), "{", `{"FieldOfALaterVersion":[1],`, 1)),
+	}
+	assert.NilError(t, table.Commit(t.Context(), eelgrasspoint.Transaction{Writes: []eelgrasspoint.Write{write}}))
+	n := newNode(table, false)
+	assert.NilError(t, n.DeleteExpiredRows(t.Context()))
+	assert.NilError(t, n.Restore(t.Context()))
+	assert.Equal(t, n.Status(1), quarantiner.Quarantined)
+	assert.Equal(t, n.events.count.Load(), int32(0), "invalid rows recorded")
+}
+
 // TestRowsOfOthersRefuseNobody guards against rows that refuse requests which crash nothing: unreadable ones, old ones, those
 // of another fingerprint, of other regions, and of a node whose clock was wrong.
 func TestRowsOfOthersRefuseNobody(t *testing.T) {
--- a/coordination/replicator/replicator_test.go
+++ b/coordination/replicator/replicator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -167,6 +168,25 @@
 	})
 }
 
+// TestRowOfALaterVersionIsRead guards against a departure that is forgotten, or whose row is deleted, since another node
+// or process runs a later version of the program, which writes fields that this one doesn't know.
+func TestRowOfALaterVersionIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &table{Storer: storer.New()}
+		p := start(t, rows, 0)
+		p.leave("a", 5)
+		assert.NilError(t, p.Replicate(t.Context()))
+		stored, err := rows.Scan(t.Context(), "")
+		assert.NilError(t, err)
+		value := strings.Replace(string(stored[0].Value), "{", `{"FieldOfALaterVersion":{"a":[1]},`, 1)
+		write := eelgrasspoint.Write{Key: stored[0].Key, Value: []byte(value)}
+		assert.NilError(t, rows.Storer.Commit(t.Context(), eelgrasspoint.Transaction{Writes: []eelgrasspoint.Write{write}}))
+		assert.NilError(t, p.DeleteExpiredRows(t.Context()))
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, start(t, rows, 0).departed(), []string{"a"})
+	})
+}
+
 // TestOldRowsAreDeleted guards against rows that grow without end, and against the deletion of one that is in force.
 func TestOldRowsAreDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/replicator/row.go
+++ b/coordination/replicator/row.go
@@ -72,7 +72,7 @@
 
 func parseRow(row eelgrasspoint.Row) (eelgrasspoint.Departure, error) {
 	var message schema.Departure
-	if err := protojson.Unmarshal(row.Value, &message); err != nil {
+	if err := translator.ParseRow(row.Value, &message); err != nil {
 		return eelgrasspoint.Departure{}, err
 	}
 	return translator.Departure(&message), nil
--- a/protocol/translator/translator_test.go
+++ b/protocol/translator/translator_test.go
@@ -37,3 +37,14 @@
 	assert.Equal(t, len(members), 1)
 	assert.Equal(t, invalid, 4)
 }
+
+// TestRowOfALaterVersionIsRead guards against a member that is not found, since it runs a later version of the program, which
+// writes fields that this one doesn't know.
+func TestRowOfALaterVersionIsRead(t *testing.T) {
+	var message schema.Member
+	assert.NilError(t, translator.ParseRow([]byte(`{"Name":"a","PeerAddress":"10.0.0.1:1","FieldOfALaterVersion":{"b":[1]}}`), &message))
+	member, err := translator.Member(&message)
+	assert.NilError(t, err)
+	assert.Equal(t, member.Name, "a")
+	assert.Assert(t, translator.ParseRow([]byte(`{"Name":1}`), &message) != nil)
+}
--- a/runner/membership.go
+++ b/runner/membership.go
@@ -129,7 +129,7 @@
 
 func parseMemberRow(value []byte) (eelgrasspoint.Member, error) {
 	var message schema.Member
-	if err := protojson.Unmarshal(value, &message); err != nil {
+	if err := translator.ParseRow(value, &message); err != nil {
 		return eelgrasspoint.Member{}, err
 	}
 	return translator.Member(&message)
