Settings: read whole numbers in all forms of JSON, and a retry budget with a fraction

A node did not start, or kept its old settings after SIGHUP, if the platform wrote Descriptors, MaxBodyBytes or the Slack of the retry budget as 64.0 or 6.4e1, or Slack with a fraction, as the bound that it is made of may have: whole numbers were read from digits only.

They are now read in any form; a fraction of a thing that is counted, a text and a number out of range are still refused. Slack is rounded down.

TestNumbersInAllTheirForms was red before for three of four forms, and for 62.5 ("cannot parse value as 'int'").

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -202,7 +202,7 @@
 	if budget.Window == 0 {
 		return retrier.DefaultLimits()
 	}
-	return retrier.SharedBudgetLimits(budget.Share, budget.Slack, r.nodeCount)
+	return retrier.SharedBudgetLimits(budget.Share, int(budget.Slack), r.nodeCount)
 }
 
 // fetchFrom fetches the configuration from a candidate's node if its revision is higher than after, and
--- a/state/decoder/decoder.go
+++ b/state/decoder/decoder.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-viper/mapstructure/v2"
@@ -35,6 +37,7 @@
 		DecodeHook: mapstructure.ComposeDecodeHookFunc(
 			mapstructure.StringToTimeDurationHookFunc(),
 			mapstructure.TextUnmarshallerHookFunc(),
+			wholeNumber,
 		),
 	})
 	if err != nil {
@@ -47,6 +50,22 @@
 	return invalidError(mistakes...)
 }
 
+// wholeNumber is a decode hook that turns whole numbers such as 64.0 or 6.4e1 into the form that mapstructure reads as an
+// integer. It leaves others as they are.
+func wholeNumber(_, to reflect.Type, data any) (any, error) {
+	number, isNumber := data.(json.Number)
+	if !isNumber || !to.ConvertibleTo(reflect.TypeFor[int64]()) {
+		return data, nil
+	}
+	if value, err := number.Float64(); err == nil && value == math.Trunc(value) && math.Abs(value) <= maxExactInteger {
+		return json.Number(strconv.FormatInt(int64(value), 10)), nil
+	}
+	return data, nil
+}
+
+// maxExactInteger is the highest integer up to which a float64 holds all integers.
+const maxExactInteger = 1 << 53
+
 // invalidError returns an *eelgrasspoint.InvalidError sorted by path, or nil if there are no mistakes.
 func invalidError(mistakes ...eelgrasspoint.Mistake) error {
 	if len(mistakes) == 0 {
--- a/state/loader/loader.go
+++ b/state/loader/loader.go
@@ -83,13 +83,13 @@
 }
 
 // RetryBudget bounds the retries and hedges per service, summed over all nodes: Share of the service's
-// requests, plus a reserve of Slack attempts. Redirects are not counted.
+// requests, plus a reserve of Slack attempts, rounded down. Redirects are not counted.
 // The budget is kept in token buckets, so the length of Window is not used; a zero Window selects
 // retrier.DefaultLimits, and Share and Slack are then ignored.
 type RetryBudget struct {
 	Share  float64
 	Window time.Duration
-	Slack  int
+	Slack  float64
 }
 
 // Values of Settings.Contract.
--- a/state/loader/loader_test.go
+++ b/state/loader/loader_test.go
@@ -23,6 +23,36 @@
 	assert.Equal(t, settings.AdvertisedAddress, settings.PeerAddress)
 }
 
+// TestNumbersInAllTheirForms guards against a node that does not start, or keeps its old settings, since a number is written in
+// another form.
+func TestNumbersInAllTheirForms(t *testing.T) {
+	for text, want := range map[string]int{"4100": 4100, "4100.0": 4100, "4.1e3": 4100, "41000e-1": 4100} {
+		t.Run(text, func(t *testing.T) {
+			settings, err := loader.Parse([]byte(`{
+				"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "127.0.0.1:1",
+				"PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "Descriptors": ` + text + `, "MaxBodyBytes": ` + text + `,
+				"RetryBudget": {"Share": 2e-1, "Window": "10.0s", "Slack": ` + text + `}}`))
+			assert.NilError(t, err)
+			assert.Equal(t, settings.Descriptors, want)
+			assert.Equal(t, settings.MaxBodyBytes, int64(want))
+			assert.Equal(t, settings.RetryBudget.Slack, float64(want))
+		})
+	}
+	settings, err := loader.Parse([]byte(`{
+		"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "127.0.0.1:1",
+		"PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "RetryBudget": {"Slack": 62.5}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.RetryBudget.Slack, 62.5)
+	for _, text := range []string{"4100.5", "1e300", `"4100"`, "true"} {
+		t.Run(text, func(t *testing.T) {
+			_, err := loader.Parse([]byte(`{
+				"Name": "n", "Region": "r", "AvailabilityZone": "z", "CallerAddress": "127.0.0.1:1",
+				"PeerAddress": "127.0.0.1:2", "ControlAddress": "127.0.0.1:3", "Descriptors": ` + text + `}`))
+			assert.ErrorContains(t, err, "Descriptors")
+		})
+	}
+}
+
 // TestParseReportsEveryMistake guards against reporting only the first validation error, and
 // against reporting one path twice.
 func TestParseReportsEveryMistake(t *testing.T) {
