--- a/runner/target_test.go
+++ b/runner/target_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,6 +73,51 @@
 	}
 }
 
+// heads are of proper requests in forms that are rarely used.
+var heads = []string{
+	"GET /bookings HTTP/1.0\r\nHost: h\r\n\r\n",
+	"GET /bookings HTTP/1.0\r\n\r\n",
+	"GET /bookings HTTP/1.1\r\nhOST:h:80\r\n\r\n",
+	"GET /bookings HTTP/1.1\r\nHost: DESK.example.\r\n\r\n",
+	"GET /bookings HTTP/1.1\r\nHost: [::1]:80\r\n\r\n",
+	"GET /bookings HTTP/1.1\r\nHost:\r\n\r\n",
+	"GET /%62ookings HTTP/1.1\r\nHost: h\r\n\r\n",
+	"GET http://h/bookings HTTP/1.1\r\nHost: h\r\n\r\n",
+	"GET http://h:80/bookings HTTP/1.1\r\nHost: other\r\n\r\n",
+	"PROPFIND /bookings HTTP/1.1\r\nHost: h\r\n\r\n",
+	"OPTIONS /bookings HTTP/1.1\r\nHost: h\r\n\r\n",
+	"DELETE /bookings HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+	"POST /bookings HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n1;x=y\r\na\r\n0\r\n\r\n",
+	"POST /bookings HTTP/1.1\r\nHost: h\r\nExpect: 100-Continue\r\nContent-Length: 1\r\n\r\na",
+	"GET /bookings HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+}
+
+// TestProperRequestsAreServed guards against a proper request that is answered with 400, 404 or another status of the node.
+func TestProperRequestsAreServed(t *testing.T) {
+	n := startTargetNodes(t)
+	for _, node := range []*loader.Settings{n.entry, n.exit} {
+		for _, head := range heads {
+			t.Run(strings.ReplaceAll(head, "\r\n", "|")+", at the "+node.Name+" node", func(t *testing.T) {
+				conn, err := net.Dial("tcp", node.CallerAddress.String())
+				assert.NilError(t, err)
+				defer conn.Close()
+				assert.NilError(t, conn.SetDeadline(time.Now().Add(2*bodyTimeLimit)))
+				_, err = io.WriteString(conn, head)
+				assert.NilError(t, err)
+				reader := bufio.NewReader(conn)
+				response, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err)
+				if response.StatusCode == http.StatusContinue {
+					response, err = http.ReadResponse(reader, nil)
+					assert.NilError(t, err)
+				}
+				defer response.Body.Close()
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			})
+		}
+	}
+}
+
 // TestTargetThatCannotBePassedOnIsRefused guards against a target that reaches the backend server with other escapes
 // than the caller's.
 func TestTargetThatCannotBePassedOnIsRefused(t *testing.T) {
