executor: send health checks to the path as the operators wrote it

A health path with a query or an escape was sent with the question mark or the percent sign escaped once more (/health%3Fdeep=1), and one without a slash at its begin as a malformed request: the backend server answers 404 or 400, so that a node that starts does not find it, and its load is not known.

The path is now sent as it was written; bytes that a target must escape are escaped. TestHealthPathIsSentAsConfigured was red before.

--- a/coordination/executor/health.go
+++ b/coordination/executor/health.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"eelgrasspoint"
@@ -139,7 +140,7 @@
 func (e *Executor) sendHealthCheck(ctx context.Context, transport *http.Transport, address netip.AddrPort, path string) (eelgrasspoint.Health, error) {
 	e.options.CountCheck()
 	request := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Path: path},
+		Method: http.MethodGet, URL: healthURL(address.String(), path),
 		Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { dialer.BeginRequest(info.Conn) }}
@@ -151,6 +152,17 @@
 	return e.options.Contract.ReadHealth(response), nil
 }
 
+// healthURL returns the URL of a health path, which may have escapes and a query.
+func healthURL(host, path string) *url.URL {
+	path = "/" + strings.TrimPrefix(path, "/")
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		target = &url.URL{Path: path}
+	}
+	target.Scheme, target.Host = "http", host
+	return target
+}
+
 // drainBody reads and closes a short response body, so that the connection can be used again.
 func drainBody(response *http.Response) {
 	_, _ = io.CopyN(io.Discard, response.Body, maxHealthBodyBytes)
--- a/coordination/executor/health_test.go
+++ b/coordination/executor/health_test.go
@@ -70,3 +70,21 @@
 		assert.Equal(t, got, leaving, id)
 	}
 }
+
+// TestHealthPathIsSentAsConfigured guards against a healthy backend server that the node does not find, or whose load it does not
+// know, since the operators' health path has a query or an escape.
+func TestHealthPathIsSentAsConfigured(t *testing.T) {
+	received := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { received <- r.RequestURI }))
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	e := newExecutor(t, &fakeServer{})
+	for path, want := range map[string]string{
+		"/health": "/health", "/health?deep=1": "/health?deep=1", "/he%61lth/%2F": "/he%61lth/%2F", "//health": "//health", "health": "/health",
+		"/a health": "/a%20health", "/caf\u00e9": "/caf%C3%A9", "/100%": "/100%25",
+	} {
+		_, err := e.CheckHealth(t.Context(), address, path)
+		assert.NilError(t, err, path)
+		assert.Equal(t, <-received, want)
+	}
+}
