executor: keep to the number of slots that is in force

A backend server that announced other slots without a restart went on to get as many requests at once as it announced first: with fewer slots it refused those beyond, with more it was not used in full. Only another incarnation or address set the limit.

Other slots now set it at once; the rate limit, the reports and the connections stay.

--- a/coordination/admitter/admitter.go
+++ b/coordination/admitter/admitter.go
@@ -97,6 +97,15 @@
 	a.admitWaiting()
 }
 
+// SetSlots sets another number of slots of the same incarnation of the backend server.
+func (a *Admitter) SetSlots(slots int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Reset(slots)
+	a.saturation = saturationDetector{}
+	a.admitWaiting()
+}
+
 // Close refuses the queued requests, and all new ones until Open is called, with the reason.
 func (a *Admitter) Close(reason eelgrasspoint.Reason) {
 	a.mu.Lock()
--- a/coordination/executor/connections_test.go
+++ b/coordination/executor/connections_test.go
@@ -18,6 +18,17 @@
 // TestNewNumberOfConnectionsIsInForce guards against a backend server that resets connections, since the node learned the
 // number that it accepts after its announcement, or the operators lowered it.
 func TestNewNumberOfConnectionsIsInForce(t *testing.T) {
+	checkNewNumber(t, func(b *eelgrasspoint.BackendServer) { b.Connections = 1 })
+}
+
+// TestNewNumberOfSlotsIsInForce guards against a backend server that gets more requests at once than it announced last.
+func TestNewNumberOfSlotsIsInForce(t *testing.T) {
+	checkNewNumber(t, func(b *eelgrasspoint.BackendServer) { b.Slots = 1 })
+}
+
+// checkNewNumber checks that requests run one after the other once restrict is applied to the announcement of a backend server.
+func checkNewNumber(t *testing.T, restrict func(b *eelgrasspoint.BackendServer)) {
+	t.Helper()
 	var mu sync.Mutex
 	var running, highest int
 	var address atomic.Value
@@ -54,8 +65,11 @@
 	}
 	assert.Assert(t, runThree() > 1)
 	server := netip.MustParseAddrPort(address.Load().(string))
-	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: server, Incarnation: 1, Slots: 4, Connections: 1})
+	backend := eelgrasspoint.BackendServer{Service: "s", Address: server, Incarnation: 1, Slots: 4, Connections: 4}
+	restricted := backend
+	restrict(&restricted)
+	e.SetBackend(&restricted)
 	assert.Equal(t, runThree(), 1)
-	e.SetBackend(&eelgrasspoint.BackendServer{Service: "s", Address: server, Incarnation: 1, Slots: 4, Connections: 4})
+	e.SetBackend(&backend)
 	assert.Assert(t, runThree() > 1)
 }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -78,7 +78,8 @@
 // SetBackend sets the announced backend server, or nil if it left. It opens the admitter, or closes it if
 // there is no server or the server is draining. A server with a new incarnation or address, or one that
 // is announced while there is none, counts as restarted: its announcement resets the admitter, load
-// report, health state and connections, and confirms a pending crash. Another number of connections replaces them, too.
+// report, health state and connections, and confirms a pending crash. Another number of connections replaces them, too; other
+// slots are in force at once.
 func (e *Executor) SetBackend(backend *eelgrasspoint.BackendServer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -109,6 +110,9 @@
 	if previous.Connections != backend.Connections {
 		e.replaceTransport(backend)
 	}
+	if previous.Slots != backend.Slots {
+		e.options.Admitter.SetSlots(int(backend.Slots))
+	}
 }
 
 // Close closes the idle connections to the backend server.
