forwarder: pass on absolute targets in all their forms

A request with an absolute target whose scheme or host is in capitals ended with 502 if its server was beside another node, and one without a path with 404: net/http removes the scheme and host for HTTP/2 only if they are written as the Host, and an empty path begins with no prefix, though it stands for / (RFC 9110, 4.2.3).

The target is now brought into the form that net/http knows, with a path. Targets in origin form stay as they are; so do absolute ones that were served before.

The three heads added to TestProperRequestsAreServed were red before (502, 404, 404).

--- a/coordination/forwarder/attempt.go
+++ b/coordination/forwarder/attempt.go
@@ -107,7 +107,7 @@
 	stats.Begin(start)
 	p.chargeLink(candidate, max(p.request.ContentLength, 0)+estimatedHeaderBytes)
 	answer, err := p.roundTripper(candidate).RoundTrip(ctx, candidate, &eelgrasspoint.Attempt{
-		Meta: meta, Method: p.request.Method, Target: p.request.RequestURI, Host: p.request.Host,
+		Meta: meta, Method: p.request.Method, Target: p.target, Host: p.request.Host,
 		Header: p.header, Body: body, Length: p.request.ContentLength, GiveUp: p.giveUpFunc(meta),
 	})
 	now := f.Clock()
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -98,6 +98,7 @@
 		forwarder:   f,
 		snapshot:    f.Holder.Load(),
 		request:     r,
+		target:      eelgrasspoint.Target(r),
 		start:       now,
 		timeout:     callOptions.Timeout,
 		meta:        eelgrasspoint.RequestMetadata{RequestID: callOptions.RequestID, Client: callOptions.Client, Depth: callOptions.Depth, Caller: f.Service},
@@ -108,7 +109,7 @@
 	if err != nil {
 		return p, err
 	}
-	if eelgrasspoint.TargetURL("", r.RequestURI).RequestURI() != r.RequestURI {
+	if eelgrasspoint.TargetURL("", p.target).RequestURI() != p.target {
 		return p, eelgrasspoint.Refuse(eelgrasspoint.BadHeader, "the path contains bytes that must be percent-encoded")
 	}
 	if err := p.matchRoute(); err != nil {
@@ -144,7 +145,7 @@
 // the body is not buffered as a whole, the exit node completes the fingerprint.
 func (p *proxiedRequest) setFingerprint() {
 	r := p.request
-	head := fingerprinter.Head(r.Method, r.Host, r.RequestURI, p.meta.Client, p.idempotencyKey())
+	head := fingerprinter.Head(r.Method, r.Host, p.target, p.meta.Client, p.idempotencyKey())
 	if r.ContentLength != 0 && !p.body.Complete() {
 		p.meta.Fingerprint, p.meta.BodyOpen = head, true
 		return
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -24,6 +25,7 @@
 	// choice of a candidate.
 	self         eelgrasspoint.Member
 	request      *http.Request
+	target       string
 	matchedRoute *eelgrasspoint.Route
 	meta         eelgrasspoint.RequestMetadata
 	body         *replayer.Replayer
@@ -57,7 +59,7 @@
 // a refusal.
 func (p *proxiedRequest) matchRoute() *eelgrasspoint.OutcomeError {
 	r := p.request
-	p.matchedRoute = p.snapshot.Router.Match(r.Host, r.URL.EscapedPath(), r.Method)
+	p.matchedRoute = p.snapshot.Router.Match(r.Host, cmp.Or(r.URL.EscapedPath(), "/"), r.Method)
 	if p.matchedRoute == nil && p.snapshot.Configuration.Revision == 0 {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
--- a/request.go
+++ b/request.go
@@ -105,6 +105,20 @@
 	return &url.URL{Scheme: "http", Host: host, Path: unescaped, RawPath: path, RawQuery: query, ForceQuery: hasQuery}
 }
 
+// Target returns the target of a caller's request. One in absolute form gets the scheme and host by which net/http recognizes
+// this form when it sends the request to another node, and a path if it has none.
+func Target(r *http.Request) string {
+	if r.URL.Scheme == "" {
+		return r.RequestURI
+	}
+	_, rest, _ := strings.Cut(r.RequestURI, "://")
+	pathAndQuery := strings.TrimLeftFunc(rest, func(c rune) bool { return c != '/' && c != '?' })
+	if !strings.HasPrefix(pathAndQuery, "/") {
+		pathAndQuery = "/" + pathAndQuery
+	}
+	return "http://" + r.Host + pathAndQuery
+}
+
 // Answer is a backend server's answer with the load hint in its headers.
 type Answer struct {
 	Response *http.Response
--- a/runner/target_test.go
+++ b/runner/target_test.go
@@ -62,7 +62,7 @@
 // it on to another drops the scheme and host, which are those of the Host header.
 func TestAbsoluteTarget(t *testing.T) {
 	n := startTargetNodes(t)
-	for _, path := range []string{"/bookings?q=1", "/", "//x/bookings?q=1"} {
+	for _, path := range []string{"/bookings?q=1", "/", "//x/bookings?q=1", "/?q=http://x", "/bookings%2F7"} {
 		for node, want := range map[*loader.Settings]string{n.exit: "http://h" + path, n.entry: path} {
 			t.Run(path+", at the "+node.Name+" node", func(t *testing.T) {
 				status, received := requestTarget(t, node, "http://h"+path)
@@ -84,6 +84,9 @@
 	"GET /%62ookings HTTP/1.1\r\nHost: h\r\n\r\n",
 	"GET http://h/bookings HTTP/1.1\r\nHost: h\r\n\r\n",
 	"GET http://h:80/bookings HTTP/1.1\r\nHost: other\r\n\r\n",
+	"GET HTTP://H:80/bookings HTTP/1.1\r\nHost: other\r\n\r\n",
+	"GET http://h HTTP/1.1\r\nHost: h\r\n\r\n",
+	"GET http://h?a=b HTTP/1.1\r\nHost: h\r\n\r\n",
 	"PROPFIND /bookings HTTP/1.1\r\nHost: h\r\n\r\n",
 	"OPTIONS /bookings HTTP/1.1\r\nHost: h\r\n\r\n",
 	"DELETE /bookings HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
