--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -78,7 +78,8 @@
 // SetBackend sets the announced backend server, or nil if it left. It opens the admitter, or closes it if
 // there is no server or the server is draining. A server with a new incarnation or address, or one that
 // is announced while there is none, counts as restarted: its announcement resets the admitter, load
-// report, health state and connections, and confirms a pending crash.
+// report, health state and connections, and confirms a pending crash. Another number of connections replaces them, too; other
+// slots are in force at once.
 func (e *Executor) SetBackend(backend *eelgrasspoint.BackendServer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -104,6 +105,13 @@
 		e.detector.Reset()
 		e.replaceTransport(backend)
 		e.confirmCrash()
+		return
+	}
+	if previous.Connections != backend.Connections {
+		e.replaceTransport(backend)
+	}
+	if previous.Slots != backend.Slots {
+		e.options.Admitter.SetSlots(int(backend.Slots))
 	}
 }
 
--- a/coordination/forwarder/request.go
+++ b/coordination/forwarder/request.go
@@ -1,9 +1,9 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -27,6 +27,7 @@
 	// configuration is the one that the request was matched to a route by, nil before.
 	configuration *eelgrasspoint.Configuration
 	request       *http.Request
+	target        string
 	matchedRoute  *eelgrasspoint.Route
 	meta          eelgrasspoint.RequestMetadata
 	body          *replayer.Replayer
@@ -62,7 +63,7 @@
 	r := p.request
 	p.configuration = p.snapshot.Configuration
 	p.meta.Revision = p.configuration.Revision
-	p.matchedRoute = p.snapshot.Router.Match(hostName(r.Host), r.URL.Path, r.Method)
+	p.matchedRoute = p.snapshot.Router.Match(r.Host, cmp.Or(r.URL.EscapedPath(), "/"), r.Method)
 	if p.matchedRoute == nil && p.configuration.Revision.IsZero() {
 		return eelgrasspoint.Refuse(eelgrasspoint.NotReady, "the entry node has not loaded a configuration yet")
 	}
@@ -244,10 +245,3 @@
 	maxWait := time.Duration(eelgrasspoint.MaxQueueWaitRatio * float64(target))
 	return target > 0 && p.forwarder.Clock().Sub(p.start) > maxWait
 }
-
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -56,6 +57,70 @@
 	}
 }
 
+// TestHostIsMatchedInAllItsForms guards against a proper request that is told that its route does not exist, since the
+// operators or the caller wrote the host in another form.
+func TestHostIsMatchedInAllItsForms(t *testing.T) {
+	cases := []struct{ configured, requested string }{
+		{"desk.example", "desk.example"},
+		{"desk.example", "Desk.EXAMPLE"},
+		{"Desk.Example", "desk.example"},
+		{"desk.example", "desk.example:8304"},
+		{"desk.example", "desk.example:"},
+		{"desk.example", "DESK.example.:8304"},
+		{"desk.example.", "desk.example"},
+		{"desk.example:8304", "desk.example:8304"},
+		{"desk.example:8304", "desk.example"},
+		{"10.0.0.7", "10.0.0.7:80"},
+		{"::1", "[::1]:8304"},
+		{"::1", "[::1]"},
+		{"[::1]", "[::1]:8304"},
+		{"[FE80::1]:80", "[fe80::1]"},
+	}
+	for _, c := range cases {
+		t.Run(c.configured+" as "+c.requested, func(t *testing.T) {
+			r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+				{Name: "any host", PathPrefix: "/"}, {Name: "hosted", Host: c.configured, PathPrefix: "/lots/"},
+			}})
+			assert.Equal(t, r.Match(c.requested, "/lots/7", "GET").Name, "hosted")
+			assert.Equal(t, r.Match("other.example", "/lots/7", "GET").Name, "any host")
+		})
+	}
+}
+
+// TestPathIsMatchedInAllItsForms guards against a proper request that is told that its route does not exist, or runs at the
+// service of another prefix, since the operators or the caller encoded a part of the path.
+func TestPathIsMatchedInAllItsForms(t *testing.T) {
+	cases := []struct{ prefix, path, route string }{
+		{"/lots/", "/%6Cots/7", "prefix"},
+		{"/lots/", "/lots/%2F", "prefix"},
+		{"/lots/", "/lots%2F7", "all"},
+		{"/lots/", "/lots%2f", "all"},
+		{"/lots/bids/", "/lots%2Fbids/7", "all"},
+		{"/lots%2fbids/", "/lots%2Fbids/7", "prefix"},
+		{"/lots%2Fbids/", "/lots/bids/7", "all"},
+		{"/caf%C3%A9/", "/caf%c3%a9/7", "prefix"},
+		{"/caf\u00e9/", "/caf%C3%A9/7", "prefix"},
+		{"/a%20b/", "/a%20b/7", "prefix"},
+		{"/a b/", "/a%20b/7", "prefix"},
+		{"/a%25b/", "/a%25b/7", "prefix"},
+		{"/a%b/", "/a%25b/7", "prefix"},
+		{"/a%2Fb/", "/a%252Fb/7", "all"},
+		{"/a/../b/", "/a/%2e%2E/b/7", "prefix"},
+		{"/b/", "/a/../b/7", "all"},
+		{"/%2F/", "/%2f/7", "prefix"},
+	}
+	for _, c := range cases {
+		t.Run(c.path+" with "+c.prefix, func(t *testing.T) {
+			target, err := url.ParseRequestURI(c.path)
+			assert.NilError(t, err)
+			r := router.New(&eelgrasspoint.Document{Routes: []eelgrasspoint.Route{
+				{Name: "all", PathPrefix: "/"}, {Name: "prefix", PathPrefix: c.prefix},
+			}})
+			assert.Equal(t, r.Match("", target.EscapedPath(), "GET").Name, c.route)
+		})
+	}
+}
+
 func TestPermittedIsIntersectionOfHomeRegions(t *testing.T) {
 	r := router.New(document)
 	cases := []struct {
