A document of before a restore does not replace the lower number that followed it

Callers saw, in a play with real processes: the nodes of a region were cut off from the store over a drill, the operator went on with 19 in place of the lost 20. 19 was in force for 50 ms, then 20 again at all four nodes, for good (404 for the added route, the old service for the moved one), after restarts, too.

Cause: a node that was cut off got 19, with the epoch in which the numbers began anew, from another node, and reviewed what it had read last itself: 20, before the drill. As the higher number of an earlier epoch it was taken for one that followed 19, with the same epoch, and so won at all nodes.

Change: a document that was read in an epoch before that of the number in force does not follow it.

--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -27,11 +27,13 @@
 }
 
 // Decide decides on the document in stored, which this node read last from the table service. Neither of the documents needs
-// to have a number.
+// to have a number. A document that was read before the numbers began anew does not come back.
 func Decide(inForce, stored *eelgrasspoint.Configuration) Decision {
 	higher := stored.Version >= inForce.Version
 	ofLaterEpoch := stored.ReadEpoch > inForce.ReadEpoch
 	switch {
+	case stored.ReadEpoch < inForce.NumberingEpoch:
+		return Decision{}
 	case higher && (stored.Written || !ofLaterEpoch || inForce.NumberingEpoch == 0):
 		return Decision{Follows: true, NumberingEpoch: inForce.NumberingEpoch}
 	case !ofLaterEpoch || stored.Version == 0:
