RevisionInForce says how long a change waited for the control state

The log had the steps before it (TookMilliseconds, ReadMilliseconds, DecodeMilliseconds), and only the metric had the time from the submission of a configuration until it is in force, so a collected log could not tell a busy control state from a slow link. ApplyMilliseconds is that time up to the line.

Red with the input under another name: TestRevisionIsRecordedWithItsOriginAndContent.

--- a/configuration.go
+++ b/configuration.go
@@ -169,6 +169,8 @@
 	// Read is how long the answer of the table service took after its first byte, or the whole last call of a StoreScan, and Decode how
 	// long it took from there to the configuration. Both are zero if unknown.
 	Read, Decode time.Duration
+	// SubmittedAt is when the configuration was submitted to the control state, or zero.
+	SubmittedAt time.Time
 	// InForceAt is when the node put the configuration in force.
 	InForceAt time.Time
 }
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"eelgrasspoint"
 	"eelgrasspoint/coordination/router"
@@ -67,19 +68,28 @@
 
 // recordRevision records the revision in force, and how the node got it.
 func (c *Controller) recordRevision() {
-	inputs := append(c.configuration.OriginInputs(),
-		eelgrasspoint.Input{Name: "Digest", Value: formatDigest(c.digest)},
-		eelgrasspoint.Input{Name: "TookMilliseconds", Value: c.configuration.Provenance.Took.Milliseconds()})
-	if read, decode := c.configuration.Provenance.Read, c.configuration.Provenance.Decode; read > 0 || decode > 0 {
-		inputs = append(inputs,
-			eelgrasspoint.Input{Name: "ReadMilliseconds", Value: read.Milliseconds()},
-			eelgrasspoint.Input{Name: "DecodeMilliseconds", Value: decode.Milliseconds()})
-	}
+	inputs := append(c.configuration.OriginInputs(), eelgrasspoint.Input{Name: "Digest", Value: formatDigest(c.digest)})
+	inputs = append(inputs, stepInputs(&c.configuration.Provenance, c.options.Clock())...)
 	c.options.Recorder.Record(eelgrasspoint.Event{
 		Number: eelgrasspoint.EventRevisionInForce, Detail: "revision " + eelgrasspoint.FormatRevision(c.configuration.Revision), Inputs: inputs,
 	})
 }
 
+// stepInputs returns how long the steps took that are known.
+func stepInputs(provenance *eelgrasspoint.Provenance, now time.Time) []eelgrasspoint.Input {
+	inputs := []eelgrasspoint.Input{{Name: "TookMilliseconds", Value: provenance.Took.Milliseconds()}}
+	if provenance.Read > 0 || provenance.Decode > 0 {
+		inputs = append(inputs,
+			eelgrasspoint.Input{Name: "ReadMilliseconds", Value: provenance.Read.Milliseconds()},
+			eelgrasspoint.Input{Name: "DecodeMilliseconds", Value: provenance.Decode.Milliseconds()})
+	}
+	if !provenance.SubmittedAt.IsZero() {
+		applying := now.Sub(provenance.SubmittedAt)
+		inputs = append(inputs, eelgrasspoint.Input{Name: "ApplyMilliseconds", Value: applying.Milliseconds()})
+	}
+	return inputs
+}
+
 func formatDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
 
 func (c *Controller) recordZoneChanges(previous map[string]bool) {
--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -157,6 +157,7 @@
 // Replace submits a configuration and waits until it is reconciled with the one in force, and the result is published.
 func (c *Controller) Replace(configuration eelgrasspoint.Configuration) {
 	startedAt, previous := c.options.Clock(), c.Configuration()
+	configuration.Provenance.SubmittedAt = startedAt
 	c.Submit(ReplaceConfiguration{Configuration: configuration})
 	applied := c.WaitApplied()
 	if applied && c.Configuration() != previous && c.options.ObserveApply != nil {
--- a/coordination/controller/provenance_test.go
+++ b/coordination/controller/provenance_test.go
@@ -22,7 +22,9 @@
 	document := eelgrasspoint.Document{Services: []eelgrasspoint.Service{{Name: "s"}}}
 	ReplaceConfiguration{Configuration: eelgrasspoint.Configuration{
 		Revision: 7, Document: document,
-		Provenance: eelgrasspoint.Provenance{Origin: eelgrasspoint.OtherNode, Node: "a", Took: 40 * time.Millisecond},
+		Provenance: eelgrasspoint.Provenance{
+			Origin: eelgrasspoint.OtherNode, Node: "a", Took: 40 * time.Millisecond, SubmittedAt: time.Now().Add(-time.Second),
+		},
 	}}.apply(c)
 	recorded := events.Events(time.Time{})
 	assert.Equal(t, len(recorded), 1)
@@ -33,6 +35,7 @@
 	assert.Equal(t, inputs["Origin"], "OtherNode")
 	assert.Equal(t, inputs["From"], "a")
 	assert.Equal(t, inputs["TookMilliseconds"], int64(40))
+	assert.Assert(t, inputs["ApplyMilliseconds"].(int64) >= 1000)
 	assert.Assert(t, !c.configuration.Provenance.InForceAt.IsZero())
 	changed := eelgrasspoint.Document{Services: []eelgrasspoint.Service{{Name: "other"}}}
 	assert.Assert(t, document.Digest() != changed.Digest())
