Nodes compress configurations for each other

A part of the cause: a configuration of some thousand routes went from node to node uncompressed, over links that the requests use as well. Now the node that is asked compresses it, once for all that ask (package compressor), and the transport of the Exchange service decompresses it, up to 16 MiB.

--- a/constants.go
+++ b/constants.go
@@ -54,6 +54,8 @@
 	// MaxPeerAnswerHeaderBytes bounds the headers of an answer from another node, each of which HTTP/2 counts
 	// as 32 bytes longer than it is.
 	MaxPeerAnswerHeaderBytes = 16 * MaxAnswerHeaderBytes
+	// MaxExchangeAnswerBytes bounds the answer of a node to a call of the Exchange service, once it is decompressed.
+	MaxExchangeAnswerBytes = 16 << 20
 	// MaxDepth is the number of nested calls at which a request is refused, which ends call loops.
 	MaxDepth = 16
 	// MaxReplayBytes bounds the part of one request's body that is buffered for another attempt.
--- a/runner/build.go
+++ b/runner/build.go
@@ -27,6 +27,7 @@
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/publisher"
+	"eelgrasspoint/transport/compressor"
 	"eelgrasspoint/transport/dispatcher"
 	"eelgrasspoint/transport/messenger"
 	"eelgrasspoint/transport/receiver"
@@ -96,6 +97,9 @@
 	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rowPublisher, Recorder: r.recorder})
 }
 
+// configurationPath is the path of the calls for the configuration of a node.
+const configurationPath = schema.ExchangePathPrefix + "Configuration"
+
 func (r *Runner) buildServers() servers {
 	limits := newNodeLimits(r.settings, r.meter.CountRestricted)
 	local := weigher.New(r.executor, limits.answers)
@@ -113,12 +117,12 @@
 			Withdrawer: withdrawer.New(r.options.Clock),
 			Measuring:  r.measuringBudget, Count: r.meter.AddMeasuringBytes,
 		}))),
-		exchange: r.restricted(peerServer, limits.exchange, refuseCall, schema.NewExchangeServer(exchanger.New(exchanger.Options{
+		exchange: r.restricted(peerServer, limits.exchange, refuseCall, compressor.New(configurationPath, schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
 			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
 			Settled: r.settled.Load,
-		}))),
+		})))),
 		operators: r.restricted(controlServer, limits.control.restricter, refuseCall, schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
 			Client: r.controlClient, Load: r.load, Events: r.timelineEvents, Clock: r.options.Clock,
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -15,7 +15,8 @@
 
 // Messenger is an http.RoundTripper over HTTP/2 without TLS. Its connections may be dead without having been closed,
 // so a call without a response for ExchangeResendAfter is sent once more, on a new connection, which later calls use
-// as well. The first response counts. All calls of the service can be repeated. It is safe for concurrent use.
+// as well. The first response counts. All calls of the service can be repeated. Responses may be compressed; reading one fails
+// beyond MaxExchangeAnswerBytes. It is safe for concurrent use.
 type Messenger struct {
 	transport *http.Transport
 	renewer   *renewer.Renewer
@@ -26,7 +27,9 @@
 // New returns a messenger that opens its connections with dial.
 func New(dial dialer.Func) *Messenger {
 	r := renewer.New()
-	return &Messenger{transport: dispatcher.NewTransport(r.Dial(dial)), renewer: r}
+	transport := dispatcher.NewTransport(r.Dial(dial))
+	transport.DisableCompression = false
+	return &Messenger{transport: transport, renewer: r}
 }
 
 // NewWithoutReuse returns a messenger that closes each connection after its call: one that stays open would hold up the
--- a/transport/messenger/messenger_test.go
+++ b/transport/messenger/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net"
@@ -121,3 +122,26 @@
 	assert.NilError(t, err)
 	return string(body)
 }
+
+// TestCompressedResponseIsBounded guards against a small response that takes all memory once it is decompressed.
+func TestCompressedResponseIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		bytes  int
+		passes bool
+	}{{eelgrasspoint.MaxExchangeAnswerBytes, true}, {eelgrasspoint.MaxExchangeAnswerBytes + 1, false}} {
+		address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			assert.Check(t, r.Header.Get("Accept-Encoding") == "gzip")
+			w.Header().Set("Content-Encoding", "gzip")
+			writer := gzip.NewWriter(w)
+			_, _ = writer.Write(make([]byte, c.bytes))
+			_ = writer.Close()
+		})
+		client := &http.Client{Transport: messenger.New((&net.Dialer{}).DialContext)}
+		response, err := client.Get("http://" + address)
+		assert.NilError(t, err)
+		read, err := io.Copy(io.Discard, response.Body)
+		assert.Equal(t, err == nil, c.passes, "read %d of %d bytes: %v", read, c.bytes, err)
+		response.Body.Close()
+		client.CloseIdleConnections()
+	}
+}
--- a/transport/messenger/sending.go
+++ b/transport/messenger/sending.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"slices"
+
+	"eelgrasspoint"
 )
 
 // sending is a request on one connection.
@@ -35,7 +37,8 @@
 		s.cancel()
 		return nil, s.err
 	}
-	s.response.Body = &body{ReadCloser: s.response.Body, cancel: s.cancel}
+	bounded := http.MaxBytesReader(nil, s.response.Body, eelgrasspoint.MaxExchangeAnswerBytes)
+	s.response.Body = &body{ReadCloser: bounded, cancel: s.cancel}
 	return s.response, nil
 }
 
