A node fetches what it is told of during a fetch

A part of the cause: a node that was told of a newer configuration while it fetched from the same member, or from two others, joined that fetch. What it brought could be the configuration of before, and nobody asked again until the next heartbeat, up to a second later at each hop. Now the call is made again after the fetch, if the member's revision is still news then.

Evidence: TestNewsDuringAFetchIsFetched fails without the call after the fetch (revision 2 in force where 4 had been told of).

--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -37,8 +37,9 @@
 	Tracker *tracker.Tracker
 	// Clock is the local clock, by which intervals are measured.
 	Clock eelgrasspoint.Clock
-	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting.
-	StartFetch func(m eelgrasspoint.Member, after uint64)
+	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting. It may ask
+	// the member again as long as hasNews reports that the member has news.
+	StartFetch func(m eelgrasspoint.Member, after uint64, hasNews func() bool)
 	// Events returns the recorded events that match the request.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
@@ -105,9 +106,12 @@
 // first, because the view may not contain the entry yet.
 func (e *Exchanger) pullFrom(view *eelgrasspoint.MembershipView, request *schema.ConverseRequest) {
 	updates, _ := translator.Members(request.GetNews())
+	hasNews := func() bool {
+		return e.options.Controller.Configuration().HasNews(request.GetRevision(), request.GetStateDigest())
+	}
 	for _, m := range append(updates, view.Members...) {
 		if m.Name == request.GetFrom() {
-			e.options.StartFetch(m, view.Revision)
+			e.options.StartFetch(m, view.Revision, hasNews)
 			return
 		}
 	}
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -45,7 +45,7 @@
 		Quarantiner: quarantiner.New(time.Now),
 		Cluster:     "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
 		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
-		StartFetch: func(eelgrasspoint.Member, uint64) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
+		StartFetch: func(eelgrasspoint.Member, uint64, func() bool) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
 	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request schema.ConverseRequest
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -26,6 +26,14 @@
 	mu sync.Mutex
 	// running holds the fetches that have not ended, oldest first.
 	running []*fetch
+	// later is the latest call of Start that found others running, or nil.
+	later *laterStart
+}
+
+// laterStart is a call of Start to be made once a running fetch has ended.
+type laterStart struct {
+	member  eelgrasspoint.Member
+	hasNews func() bool
 }
 
 // Options are the dependencies of a fetcher.
@@ -66,10 +74,28 @@
 	}
 }
 
-// Start fetches the configuration of a member without waiting for it.
-func (f *Fetcher) Start(m eelgrasspoint.Member, after uint64) {
-	if f.options.Controller.Configuration().Revision <= after {
-		f.startOrJoin(m, after)
+// Start fetches the configuration of a member without waiting for it. If it has to join a running fetch, which may bring an
+// older one, the member is asked again after that, as long as hasNews reports that it has news for this node.
+func (f *Fetcher) Start(m eelgrasspoint.Member, after uint64, hasNews func() bool) {
+	if f.options.Controller.Configuration().Revision > after {
+		return
+	}
+	if _, started := f.startOrJoin(m, after); started {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.later = &laterStart{member: m, hasNews: hasNews}
+}
+
+// startLater makes the call of Start that waited for a running fetch.
+func (f *Fetcher) startLater() {
+	f.mu.Lock()
+	later := f.later
+	f.later = nil
+	f.mu.Unlock()
+	if later != nil && later.hasNews() {
+		f.Start(later.member, f.options.Controller.Configuration().Revision, later.hasNews)
 	}
 }
 
@@ -110,6 +136,7 @@
 }
 
 func (f *Fetcher) run(current *fetch, m eelgrasspoint.Member, after uint64) {
+	defer f.startLater()
 	defer f.end(current)
 	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.ConfigurationTimeout)
 	defer cancel()
--- a/coordination/fetcher/fetcher_test.go
+++ b/coordination/fetcher/fetcher_test.go
@@ -144,3 +144,24 @@
 		assert.Equal(t, f.controller.Configuration().Revision, uint64(2))
 	})
 }
+
+// TestNewsDuringAFetchIsFetched guards against a node that stays at the configuration that a member had at the begin of a
+// fetch, and does not ask for the one that the member told of during the fetch.
+func TestNewsDuringAFetchIsFetched(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	members := network{"10.0.0.1:1": {revision: 2, delay: delay}, "10.0.0.2:1": {revision: 2, delay: delay}, "10.0.0.3:1": {revision: 4}}
+	withFetcher(t, members, func(t *testing.T, f fixture) {
+		tells := func(revision uint64) func() bool {
+			return func() bool { return f.controller.Configuration().HasNews(revision, 0) }
+		}
+		f.fetcher.Start(at("10.0.0.1:1"), 1, tells(2))
+		f.fetcher.Start(at("10.0.0.2:1"), 1, tells(2))
+		time.Sleep(delay / 2)
+		f.fetcher.Start(at("10.0.0.1:1"), 1, tells(2))
+		f.fetcher.Start(at("10.0.0.3:1"), 1, tells(4))
+		time.Sleep(delay)
+		assert.Equal(t, f.controller.Configuration().Revision, uint64(4))
+		time.Sleep(delay)
+		assert.Equal(t, members["10.0.0.1:1"].calls.Load()+members["10.0.0.2:1"].calls.Load(), int32(2), "members without news are asked again")
+	})
+}
