Simulated nodes can wait at the platform for changes

The stand-in of the table service tells of changes to a row and can turn hosts away; package follower is a source that waits for them. Nodes of a simulator with the option Follows use it in place of the poll, so that the proofs can show how a change reaches the nodes of a region behind a slow link. No change of the program.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,6 +36,8 @@
 	LoseAnswers int
 	// DownAfterLoss makes the platform go down after a write whose answer was lost.
 	DownAfterLoss bool
+	// TurnedAway are the hosts whose calls are answered with status 503.
+	TurnedAway []netip.Addr
 	// DropWrites is the number of upcoming writes that neither take effect nor are answered.
 	DropWrites int
 }
@@ -43,6 +47,7 @@
 	p := &Platform{table: storer.New(), mux: http.NewServeMux()}
 	p.mux.HandleFunc("GET /table/{key}", p.read)
 	p.mux.HandleFunc("GET /table", p.scan)
+	p.mux.HandleFunc("GET /changes/{key}", p.changes)
 	p.mux.HandleFunc("POST /transactions", p.commit)
 	return p
 }
@@ -66,7 +71,7 @@
 	p.calls.Add(1)
 	faults := p.currentFaults()
 	time.Sleep(faults.Delay)
-	if faults.Down {
+	if faults.Down || faults.turnsAway(r.RemoteAddr) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -82,6 +87,12 @@
 	p.mux.ServeHTTP(w, r)
 }
 
+// turnsAway reports whether calls from an address are turned away.
+func (f Faults) turnsAway(address string) bool {
+	from, err := netip.ParseAddrPort(address)
+	return err == nil && slices.Contains(f.TurnedAway, from.Addr())
+}
+
 // applyDownAfterLoss sets Down to DownAfterLoss, also if that is false. It is called after each write
 // whose answer was lost.
 func (p *Platform) applyDownAfterLoss() {
@@ -123,6 +134,26 @@
 	writeRow(w, row, err)
 }
 
+// changesInterval is the pause between two looks for a change.
+const changesInterval = 10 * time.Millisecond
+
+// changes answers with a row as soon as its version is above the one in the query, or with status 204 after the wait.
+func (p *Platform) changes(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	for until := time.Now().Add(time.Duration(wait) * time.Millisecond); r.Context().Err() == nil; time.Sleep(changesInterval) {
+		row, err := p.table.Read(r.Context(), r.PathValue("key"))
+		if err == nil && row.Version > after {
+			writeRow(w, row, nil)
+			return
+		}
+		if !time.Now().Before(until) {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+}
+
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
 	rows, _ := p.table.Scan(r.Context(), r.URL.Query().Get("prefix"))
 	_ = json.NewEncoder(w).Encode(rows)
--- a/standin/simulator/configuration.go
+++ b/standin/simulator/configuration.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"eelgrasspoint"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
+	"eelgrasspoint/state/connector"
+	"eelgrasspoint/state/publisher"
 )
 
 // ExampleDocument returns an example configuration to apply in a simulator. It resembles
@@ -42,6 +45,18 @@
 	return s.Apply(ctx, n, &schema.ApplyRequest{Put: translator.DocumentMessage(document)})
 }
 
+// Publish replaces the published configuration of nodes that follow the platform, and returns its revision.
+func (s *Simulator) Publish(ctx context.Context, document *eelgrasspoint.Document) (uint64, error) {
+	client := &http.Client{Transport: &http.Transport{DialContext: s.Network.Dial(s.callerHost), DisableKeepAlives: true}}
+	p := publisher.New(connector.New(s.platformAddress, client, func(string, string) {}))
+	base, err := p.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	revision := base.Configuration.Revision + 1
+	return revision, p.Replace(ctx, base, fmt.Sprint("published-", revision), document)
+}
+
 // Apply sends a change to a node. If the call fails, the response has the result UNSPECIFIED and the
 // error as its detail.
 func (s *Simulator) Apply(ctx context.Context, n *Node, request *schema.ApplyRequest) *schema.ApplyResponse {
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -17,6 +17,7 @@
 	"eelgrasspoint"
 	"eelgrasspoint/runner"
 	"eelgrasspoint/standin/backend"
+	"eelgrasspoint/standin/follower"
 	"eelgrasspoint/standin/network"
 	"eelgrasspoint/standin/platform"
 	"eelgrasspoint/state/connector"
@@ -44,6 +45,8 @@
 	// place of the default ones.
 	Chooser func() eelgrasspoint.Chooser
 	Limiter func() eelgrasspoint.Limiter
+	// Follows makes the nodes wait at the platform for changes of the configuration, which Publish makes.
+	Follows bool
 }
 
 // Node is a node, the backend server beside it and their addresses.
@@ -195,6 +198,9 @@
 	if n.simulator.options.Limiter != nil {
 		options.Limiter = n.simulator.options.Limiter()
 	}
+	if n.simulator.options.Follows {
+		options.Source = n.newSource
+	}
 	n.Runner = runner.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancelNode = cancel
@@ -211,6 +217,11 @@
 	return connector.New(n.simulator.platformAddress, &http.Client{Transport: transport}, count)
 }
 
+func (n *Node) newSource(wait func() time.Duration) eelgrasspoint.Source {
+	transport := &http.Transport{DialContext: n.simulator.Network.Dial(n.Host), IdleConnTimeout: eelgrasspoint.StoreSilenceLimit}
+	return follower.New(n.simulator.platformAddress, &http.Client{Transport: transport}, wait)
+}
+
 // StopNode shuts the node down gracefully and waits until it has ended, which closes the connections that
 // are still open.
 func (n *Node) StopNode() {
