A few nodes of each region wait for changes and tell the others

Now the first node of each zone waits for changes and tells its zone, the others learn along the rings, ask the selected nodes when they don't hear of the node before them, and read the store in turns as a backstop.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -129,6 +129,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:     dialer.New(opener.New(eelgrasspoint.StoreSilenceLimit).DialContext).DialContext,
 		MaxConnsPerHost: maxTableConnections, MaxResponseHeaderBytes: eelgrasspoint.MaxAnswerHeaderBytes,
+		IdleConnTimeout: eelgrasspoint.StoreSilenceLimit,
 	}}
 }
 
--- a/constants.go
+++ b/constants.go
@@ -278,9 +278,9 @@
 	// CommitRetryTimeout bounds the repetitions of a configuration change whose response was lost; they
 	// show whether the change took effect.
 	CommitRetryTimeout = 5 * time.Second
-	// ChangesCallInterval is the time in which one of all nodes begins a new call for changes, and MaxChangesWait the
+	// ChangesCallInterval is the time in which one node of each region begins a new call for changes, and MaxChangesWait the
 	// longest that a call waits.
-	ChangesCallInterval = 500 * time.Millisecond
+	ChangesCallInterval = time.Second
 	MaxChangesWait      = 25 * time.Second
 	// StoreSilenceLimit is how long a connection to the table service acknowledges nothing before it is closed. It
 	// leaves half a second of the shortest time in which a change must be in force everywhere.
--- a/coordination/assigner/assigner.go
+++ b/coordination/assigner/assigner.go
@@ -46,6 +46,17 @@
 	return append(targets, a.remoteTargets(self, remoteOffset)...)
 }
 
+// Predecessor returns the name of the member that sends heartbeats to the node along the first ring, or "" if the node is
+// alone in its region.
+func (a *Assigner) Predecessor(self eelgrasspoint.Member) string {
+	order := ordered(a.inRegion(self.Region), firstRing)
+	index := indexOf(order, self.Name)
+	if index < 0 || len(order) == 1 {
+		return ""
+	}
+	return order[(index+len(order)-1)%len(order)].Name
+}
+
 func (a *Assigner) inRegion(region string) []eelgrasspoint.Member {
 	var found []eelgrasspoint.Member
 	for _, m := range a.members {
--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -33,6 +33,8 @@
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
 	Now func() time.Time
+	// Heard is called with the name of each node that sends a heartbeat.
+	Heard func(name string)
 	// Tracker remembers which updates other nodes have.
 	Tracker *tracker.Tracker
 	// Clock is the local clock, by which intervals are measured.
@@ -61,6 +63,7 @@
 		return nil, twirp.PermissionDenied.Error("the message is from cluster " + request.GetCluster() + ", but the node belongs to another cluster")
 	}
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
+	e.options.Heard(request.GetFrom())
 	e.mergeMembers(request)
 	view := e.options.Controller.View()
 	if e.options.Controller.Configuration().HasNews(request.GetRevision(), request.GetStateDigest()) {
--- a/coordination/exchanger/exchanger_test.go
+++ b/coordination/exchanger/exchanger_test.go
@@ -44,8 +44,8 @@
 	e := exchanger.New(exchanger.Options{
 		Quarantiner: quarantiner.New(time.Now),
 		Cluster:     "c", Controller: c, Recorder: r, Witness: r.AdvanceClock, Now: r.Now,
-		Load:       func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
-		StartFetch: func(eelgrasspoint.Member, uint64, func() bool) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
+		Load:  func() eelgrasspoint.Load { return eelgrasspoint.Load{} },
+		Heard: func(string) {}, StartFetch: func(eelgrasspoint.Member, uint64, func() bool) {}, Tracker: tracker.New(), Clock: time.Now, Settled: func() bool { return true },
 	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var request schema.ConverseRequest
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -51,6 +51,8 @@
 	startedAt time.Time
 	// done is closed once the call has ended and its configuration is in force.
 	done chan struct{}
+	// answered is set before that if the member has answered.
+	answered bool
 }
 
 // New returns a fetcher.
@@ -88,6 +90,18 @@
 	f.later = &laterStart{member: m, hasNews: hasNews}
 }
 
+// Ask fetches the configuration of a member if it has news, and waits until that is in force. It reports whether the
+// member has answered before ctx ends.
+func (f *Fetcher) Ask(ctx context.Context, m eelgrasspoint.Member) bool {
+	current, _ := f.startOrJoin(m, f.options.Controller.Configuration().Revision)
+	select {
+	case <-current.done:
+		return current.answered && current.address == m.PeerAddress
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // startLater makes the call of Start that waited for a running fetch.
 func (f *Fetcher) startLater() {
 	f.mu.Lock()
@@ -149,6 +163,7 @@
 		f.recordFailure(m, after, err)
 		return
 	}
+	current.answered = true
 	if response.GetConfiguration() == nil {
 		return
 	}
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -44,6 +44,8 @@
 	Recorder   eelgrasspoint.Recorder
 	// Fetch fetches the configuration of a member if its revision is higher than after.
 	Fetch func(ctx context.Context, m eelgrasspoint.Member, after uint64)
+	// Tell returns members to be told of each new configuration, beside the heartbeat targets.
+	Tell func(view *eelgrasspoint.MembershipView) []eelgrasspoint.Member
 	// Witness advances the event clock past the time of a peer's event clock.
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
@@ -77,6 +79,8 @@
 	quarantinesAt time.Time
 	// revision and stateDigest are those of the member's configuration when it last answered.
 	revision, stateDigest uint64
+	// toldRevision and toldDigest are those of the configuration that the member was told of last.
+	toldRevision, toldDigest uint64
 }
 
 // flushDelay is how long flushAfterDelay waits for further updates.
@@ -114,9 +118,44 @@
 			group.Go(func() { _ = o.sendHeartbeat(ctx, view, m) })
 		}
 	}
+	for _, m := range o.options.Tell(view) {
+		if !contains(view.Observed, m.Name) && o.beginTelling(view, m.Name) {
+			group.Go(func() { o.tell(ctx, view, m) })
+		}
+	}
 	group.Wait()
 }
 
+// beginTelling reports whether the member was not told of the configuration in force yet, and notes that it is now.
+func (o *Observer) beginTelling(view *eelgrasspoint.MembershipView, name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.peerState(name)
+	if p.toldRevision == view.Revision && p.toldDigest == view.StateDigest {
+		return false
+	}
+	p.toldRevision, p.toldDigest = view.Revision, view.StateDigest
+	return true
+}
+
+// tell tells a member of the configuration in force, which it then fetches. If that fails, it hears of it along the rings.
+func (o *Observer) tell(ctx context.Context, view *eelgrasspoint.MembershipView, m eelgrasspoint.Member) {
+	ctx, cancel := context.WithTimeout(ctx, eelgrasspoint.HeartbeatTimeout)
+	defer cancel()
+	o.options.Meter.CountExchange("Converse")
+	if response, err := o.client(m).Converse(ctx, o.request(view, m, nil)); err == nil {
+		o.mergeMembers(m, response)
+	}
+}
+
+// mergeMembers applies the member updates in the answer of m.
+func (o *Observer) mergeMembers(m eelgrasspoint.Member, response *schema.ConverseResponse) {
+	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
+		o.options.Tracker.Acknowledge(m.Name, members)
+		o.options.Controller.Submit(controller.MergeMembers{Members: members})
+	}
+}
+
 // hasNews reports whether the member lacks an update or the configuration in force, as far as this node knows.
 func (o *Observer) hasNews(view *eelgrasspoint.MembershipView, m eelgrasspoint.Member) bool {
 	return o.lacksConfiguration(view, m.Name) || len(o.options.Tracker.Missing(m.Name, view.News, o.options.Clock())) > 0
@@ -177,10 +216,7 @@
 	o.options.Tracker.Acknowledge(m.Name, updates)
 	o.setRevision(m.Name, response.GetRevision(), response.GetStateDigest())
 	o.options.Witness(time.Unix(0, int64(response.GetWall())))
-	if members, _ := translator.Members(response.GetNews()); len(members) > 0 {
-		o.options.Tracker.Acknowledge(m.Name, members)
-		o.options.Controller.Submit(controller.MergeMembers{Members: members})
-	}
+	o.mergeMembers(m, response)
 	if o.options.Controller.Configuration().HasNews(response.GetRevision(), response.GetStateDigest()) {
 		o.options.Fetch(ctx, m, view.Revision)
 	}
--- a/runner/build.go
+++ b/runner/build.go
@@ -20,6 +20,7 @@
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/coordination/selector"
 	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/coordination/withdrawer"
@@ -73,9 +74,11 @@
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
 	})
 	r.tracker = tracker.New()
+	r.selector = selector.New(clock)
 	r.observer = observer.New(observer.Options{
 		Tracker: r.tracker,
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
+		Tell:       r.tellsOfChanges,
 		DeadClient: &http.Client{Transport: messenger.NewWithoutReuse(r.controlDialer.DialContext)},
 		Witness:    r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
 		Settled: r.settle, Quarantiner: r.quarantiner,
@@ -120,7 +123,7 @@
 		exchange: r.restricted(peerServer, limits.exchange, refuseCall, compressor.New(configurationPath, schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
+			Now: r.recorder.Now, Heard: r.selector.Hear, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
 			Settled: r.settled.Load,
 		})))),
 		operators: r.restricted(controlServer, limits.control.restricter, refuseCall, schema.NewOperatorsServer(operator.New(operator.Options{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -27,6 +27,7 @@
 	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/reporter"
 	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/coordination/selector"
 	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/protocol/parser"
@@ -63,6 +64,7 @@
 	tracker         *tracker.Tracker
 	table           eelgrasspoint.Table
 	source          eelgrasspoint.Source
+	selector        *selector.Selector
 	staggerer       *staggerer.Staggerer
 	committer       *committer.Committer
 	linkBudget      *budgeter.Budgeter
--- a/runner/source.go
+++ b/runner/source.go
@@ -41,16 +41,40 @@
 	return published.Configuration, err
 }
 
+// Times of a node that follows the changes of the operators.
+const (
+	// aloneChangesWait is the longest wait for changes of a node that waits only as long as it doesn't hear of others.
+	aloneChangesWait = time.Second
+	// selectionInterval is the mean pause between two checks of whether the node has to read changes itself.
+	selectionInterval = 100 * time.Millisecond
+	// askTimeout bounds the question to the selected nodes before the node reads changes itself.
+	askTimeout = eelgrasspoint.HeartbeatTimeout / 2
+)
+
 // changesWait returns how long the source may wait for the next change in one call. A node can't tell a call whose
 // response will never come from one without changes, so the nodes take turns to begin a new one. The node that learns of
 // a change tells the others.
 func (r *Runner) changesWait() time.Duration {
+	view := r.controller.View()
+	turn := r.untilTurn(view)
+	switch {
+	case r.selector.Selects(view):
+		return turn
+	case r.selector.Alone(view):
+		return min(turn, aloneChangesWait)
+	default:
+		return 0
+	}
+}
+
+// untilTurn returns the time until the node's next turn among the nodes of its region.
+func (r *Runner) untilTurn(view *eelgrasspoint.MembershipView) time.Duration {
 	rank, nodes := 0, 0
-	for _, m := range r.controller.View().Members {
-		if !m.Alive() {
+	for _, m := range view.Members {
+		if !m.Alive() || m.Region != view.Self.Region {
 			continue
 		}
-		if m.Name < r.settings.Name {
+		if m.Name < view.Self.Name {
 			rank++
 		}
 		nodes++
@@ -58,6 +82,57 @@
 	return r.staggerer.Wait(r.options.Clock(), rank, nodes)
 }
 
+// awaitTurn waits until the node has to read changes itself: now, if it is selected or may miss the changes of others, else
+// in its turn. Each change is a whole configuration, so that the copies for all nodes would fill a slow link.
+func (r *Runner) awaitTurn(ctx context.Context) {
+	if r.options.Source == nil {
+		return
+	}
+	turnAt := r.options.Clock().Add(r.untilTurn(r.controller.View()))
+	for ctx.Err() == nil && !r.readsChanges(ctx) && r.options.Clock().Before(turnAt) {
+		r.sleepJittered(ctx, selectionInterval)
+	}
+}
+
+// readsChanges reports whether the node has to read changes itself, out of turn. If it may miss the changes of others, it asks the
+// selected nodes first.
+func (r *Runner) readsChanges(ctx context.Context) bool {
+	view := r.controller.View()
+	read := r.epoch.Load()
+	restored := read == nil || eelgrasspoint.Epoch(view.Revision) > *read
+	if restored || r.selector.Selects(view) {
+		return true
+	}
+	return r.selector.Alone(view) && !r.askSelected(ctx, view)
+}
+
+// tellsOfChanges returns the members that this node is to tell of changes, where nodes wait for them.
+func (r *Runner) tellsOfChanges(view *eelgrasspoint.MembershipView) []eelgrasspoint.Member {
+	if r.options.Source == nil {
+		return nil
+	}
+	return r.selector.Told(view)
+}
+
+// askSelected asks the selected nodes for their configuration, and reports whether one has answered.
+func (r *Runner) askSelected(ctx context.Context, view *eelgrasspoint.MembershipView) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	askedAt := r.options.Clock()
+	selected := r.selector.Selected(view)
+	answers := make(chan bool, len(selected))
+	for _, m := range selected {
+		go func() { answers <- r.fetcher.Ask(ctx, m) }()
+	}
+	for range selected {
+		if <-answers {
+			r.selector.Answered(askedAt)
+			return true
+		}
+	}
+	return false
+}
+
 // followConfiguration waits for published configurations until ctx ends, and submits each one to the controller, which
 // reconciles it with the one in force.
 func (r *Runner) followConfiguration(ctx context.Context) {
@@ -67,6 +142,7 @@
 		if err != nil && !r.recordUsable(err) {
 			r.recordStoreDown(ctx, err)
 			r.sleepJittered(ctx, backoff)
+			r.awaitTurn(ctx)
 			backoff = min(2*backoff, maxSourceBackoff)
 			continue
 		}
@@ -77,6 +153,7 @@
 			r.controller.WaitApplied()
 			r.followEpoch(ctx, eelgrasspoint.Epoch(configuration.Revision))
 		}
+		r.awaitTurn(ctx)
 	}
 }
 
