--- a/coordination/exchanger/exchanger.go
+++ b/coordination/exchanger/exchanger.go
@@ -33,12 +33,15 @@
 	Witness func(time.Time)
 	// Now returns the time of the event clock.
 	Now func() time.Time
+	// Heard is called with the name of each node that sends a heartbeat.
+	Heard func(name string)
 	// Tracker remembers which updates other nodes have.
 	Tracker *tracker.Tracker
 	// Clock is the local clock, by which intervals are measured.
 	Clock eelgrasspoint.Clock
-	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting.
-	StartFetch func(m eelgrasspoint.Member, after eelgrasspoint.Revision)
+	// StartFetch fetches the configuration from a member if its revision is higher than after, without waiting. It may ask
+	// the member again as long as hasNews reports that the member has news.
+	StartFetch func(m eelgrasspoint.Member, after eelgrasspoint.Revision, hasNews func() bool)
 	// Events returns the recorded events that match the request.
 	Events func(request *schema.TimelineRequest) []eelgrasspoint.Event
 	// Settled reports whether this node has joined, so that it knows the departures that were gossiped.
@@ -60,6 +63,7 @@
 		return nil, twirp.PermissionDenied.Error("the message is from cluster " + request.GetCluster() + ", but the node belongs to another cluster")
 	}
 	e.options.Witness(time.Unix(0, int64(request.GetWall())))
+	e.options.Heard(request.GetFrom())
 	e.mergeMembers(request)
 	view := e.options.Controller.View()
 	theirs := translator.Revision(request.GetRevision(), request.GetLargeRevision())
@@ -108,9 +112,13 @@
 // first, because the view may not contain the entry yet.
 func (e *Exchanger) pullFrom(view *eelgrasspoint.MembershipView, request *schema.ConverseRequest) {
 	updates, _ := translator.Members(request.GetNews())
+	theirs := translator.Revision(request.GetRevision(), request.GetLargeRevision())
+	hasNews := func() bool {
+		return e.options.Controller.Configuration().HasNews(theirs, request.GetStateDigest())
+	}
 	for _, m := range append(updates, view.Members...) {
 		if m.Name == request.GetFrom() {
-			e.options.StartFetch(m, view.Revision)
+			e.options.StartFetch(m, view.Revision, hasNews)
 			return
 		}
 	}
--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -26,6 +26,14 @@
 	mu sync.Mutex
 	// running holds the fetches that have not ended, oldest first.
 	running []*fetch
+	// later is the latest call of Start that found others running, or nil.
+	later *laterStart
+}
+
+// laterStart is a call of Start to be made once a running fetch has ended.
+type laterStart struct {
+	member  eelgrasspoint.Member
+	hasNews func() bool
 }
 
 // Options are the dependencies of a fetcher.
@@ -43,6 +51,8 @@
 	startedAt time.Time
 	// done is closed once the call has ended and its configuration is in force.
 	done chan struct{}
+	// answered is set before that if the member has answered.
+	answered bool
 }
 
 // New returns a fetcher.
@@ -66,10 +76,40 @@
 	}
 }
 
-// Start fetches the configuration of a member without waiting for it.
-func (f *Fetcher) Start(m eelgrasspoint.Member, after eelgrasspoint.Revision) {
-	if !f.options.Controller.Configuration().Revision.After(after) {
-		f.startOrJoin(m, after)
+// Start fetches the configuration of a member without waiting for it. If it has to join a running fetch, which may bring an
+// older one, the member is asked again after that, as long as hasNews reports that it has news for this node.
+func (f *Fetcher) Start(m eelgrasspoint.Member, after eelgrasspoint.Revision, hasNews func() bool) {
+	if f.options.Controller.Configuration().Revision.After(after) {
+		return
+	}
+	if _, started := f.startOrJoin(m, after); started {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.later = &laterStart{member: m, hasNews: hasNews}
+}
+
+// Ask fetches the configuration of a member if it has news, and waits until that is in force. It reports whether the
+// member has answered before ctx ends.
+func (f *Fetcher) Ask(ctx context.Context, m eelgrasspoint.Member) bool {
+	current, _ := f.startOrJoin(m, f.options.Controller.Configuration().Revision)
+	select {
+	case <-current.done:
+		return current.answered && current.address == m.PeerAddress
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startLater makes the call of Start that waited for a running fetch.
+func (f *Fetcher) startLater() {
+	f.mu.Lock()
+	later := f.later
+	f.later = nil
+	f.mu.Unlock()
+	if later != nil && later.hasNews() {
+		f.Start(later.member, f.options.Controller.Configuration().Revision, later.hasNews)
 	}
 }
 
@@ -110,6 +150,7 @@
 }
 
 func (f *Fetcher) run(current *fetch, m eelgrasspoint.Member, after eelgrasspoint.Revision) {
+	defer f.startLater()
 	defer f.end(current)
 	ctx, cancel := context.WithTimeout(context.Background(), eelgrasspoint.ConfigurationTimeout)
 	defer cancel()
@@ -123,6 +164,7 @@
 		f.recordFailure(m, after, err)
 		return
 	}
+	current.answered = true
 	if response.GetConfiguration() == nil {
 		return
 	}
--- a/runner/build.go
+++ b/runner/build.go
@@ -20,6 +20,7 @@
 	"eelgrasspoint/coordination/quarantiner"
 	"eelgrasspoint/coordination/replicator"
 	"eelgrasspoint/coordination/retrier"
+	"eelgrasspoint/coordination/selector"
 	"eelgrasspoint/coordination/staggerer"
 	"eelgrasspoint/coordination/tracker"
 	"eelgrasspoint/coordination/withdrawer"
@@ -27,6 +28,7 @@
 	"eelgrasspoint/protocol/responder"
 	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/state/publisher"
+	"eelgrasspoint/transport/compressor"
 	"eelgrasspoint/transport/dispatcher"
 	"eelgrasspoint/transport/messenger"
 	"eelgrasspoint/transport/receiver"
@@ -72,9 +74,11 @@
 		Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Meter: r.meter, Clock: clock,
 	})
 	r.tracker = tracker.New()
+	r.selector = selector.New(clock)
 	r.observer = observer.New(observer.Options{
 		Tracker: r.tracker,
 		Cluster: r.settings.Cluster, Controller: r.controller, Client: r.controlClient, Recorder: r.recorder, Fetch: r.fetcher.Fetch,
+		Tell:       r.tellsOfChanges,
 		DeadClient: &http.Client{Transport: messenger.NewWithoutReuse(r.controlDialer.DialContext)},
 		Witness:    r.recorder.AdvanceClock, Now: r.recorder.Now, Meter: r.meter, Clock: clock, Refreshed: r.holder.MarkRefreshed,
 		Settled: r.settle, Quarantiner: r.quarantiner,
@@ -96,6 +100,9 @@
 	r.committer = committer.New(committer.Options{Controller: r.controller, Publisher: rowPublisher, Recorder: r.recorder})
 }
 
+// configurationPath is the path of the calls for the configuration of a node.
+const configurationPath = schema.ExchangePathPrefix + "Configuration"
+
 func (r *Runner) buildServers() servers {
 	limits := newNodeLimits(r.settings, r.meter.CountRestricted)
 	local := weigher.New(r.executor, limits.answers)
@@ -113,12 +120,12 @@
 			Withdrawer: withdrawer.New(r.options.Clock),
 			Measuring:  r.measuringBudget, Count: r.meter.AddMeasuringBytes,
 		}))),
-		exchange: r.restricted(peerServer, limits.exchange, refuseCall, schema.NewExchangeServer(exchanger.New(exchanger.Options{
+		exchange: r.restricted(peerServer, limits.exchange, refuseCall, compressor.New(configurationPath, schema.NewExchangeServer(exchanger.New(exchanger.Options{
 			Tracker: r.tracker, Clock: r.options.Clock,
 			Cluster: r.settings.Cluster, Controller: r.controller, Recorder: r.recorder, Load: r.load, Witness: r.recorder.AdvanceClock,
-			Now: r.recorder.Now, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
+			Now: r.recorder.Now, Heard: r.selector.Hear, StartFetch: r.fetcher.Start, Events: r.timelineEvents, Quarantiner: r.quarantiner,
 			Settled: r.settled.Load,
-		}))),
+		})))),
 		operators: r.restricted(controlServer, limits.control.restricter, refuseCall, schema.NewOperatorsServer(operator.New(operator.Options{
 			Cluster: r.settings.Cluster, Controller: r.controller, Committer: r.committer, Holder: r.holder,
 			Client: r.controlClient, Load: r.load, Events: r.timelineEvents, Clock: r.options.Clock,
