A newer document of an earlier version of the program is not taken for an old one

Cause: an earlier version does not send the epoch in which a document was last read. Zero was taken for an epoch, so that the node's own document, read in epoch 1, seemed to be a lower number that the operators had written since.

Change: a message without that epoch means that the document may have been read in the epoch of its revision. A zero that is sent stays a zero, as epochs may begin with it. What remains: while both versions run, a lower number after a drill may be refused by nodes that have the lost one from an earlier version, too, until a higher one is written or they restart.

--- a/protocol/translator/revision_test.go
+++ b/protocol/translator/revision_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"eelgrasspoint"
+	"eelgrasspoint/coordination/sequencer"
+	"eelgrasspoint/protocol/schema"
 	"eelgrasspoint/protocol/translator"
 )
 
@@ -42,3 +44,15 @@
 	assert.Equal(t, number, uint64(packed))
 	assert.Assert(t, large == nil)
 }
+
+// TestDocumentOfAnEarlierVersionOfTheProgramIsNotOld guards against a node that goes back to an older document of its own
+// during a rolling update, since it takes a newer one from another node for one of before a restore.
+func TestDocumentOfAnEarlierVersionOfTheProgramIsNotOld(t *testing.T) {
+	received := translator.Configuration(&schema.GetResponse{Revision: 2<<40 | 5, Version: 12})
+	stored := eelgrasspoint.Configuration{Version: 9, ReadEpoch: 2, Writing: eelgrasspoint.WrittenInEpoch}
+	assert.Equal(t, sequencer.Decide(&received, &stored), sequencer.Decision{})
+	epochZero := translator.Configuration(translator.ConfigurationMessage(&eelgrasspoint.Configuration{
+		Revision: eelgrasspoint.Revision{Epoch: 1, Version: 5}, Version: 12,
+	}))
+	assert.Equal(t, epochZero.ReadEpoch, uint64(0))
+}
--- a/protocol/translator/translator.go
+++ b/protocol/translator/translator.go
@@ -121,11 +121,17 @@
 	}
 }
 
-// Configuration converts a message to a configuration.
+// Configuration converts a message to a configuration. The document of an earlier version of the program may have been read
+// in the epoch of the revision, and never in a later one.
 func Configuration(m *schema.GetResponse) eelgrasspoint.Configuration {
+	revision := Revision(m.GetRevision(), m.GetLargeRevision())
+	readEpoch := revision.Epoch
+	if m.ReadEpoch != nil {
+		readEpoch = m.GetReadEpoch()
+	}
 	return eelgrasspoint.Configuration{
-		Revision: Revision(m.GetRevision(), m.GetLargeRevision()), Version: m.GetVersion(), NumberingEpoch: m.GetNumberingEpoch(),
-		ReadEpoch: m.GetReadEpoch(),
+		Revision: revision, Version: m.GetVersion(), NumberingEpoch: m.GetNumberingEpoch(),
+		ReadEpoch: readEpoch,
 		Document:  Document(m.GetConfiguration()),
 	}
 }
@@ -135,7 +141,7 @@
 	revision, large := RevisionMessage(c.Revision)
 	return &schema.GetResponse{
 		Revision: revision, LargeRevision: large, Version: c.Version, NumberingEpoch: c.NumberingEpoch,
-		ReadEpoch:     c.ReadEpoch,
+		ReadEpoch:     &c.ReadEpoch,
 		Configuration: DocumentMessage(&c.Document),
 	}
 }
