A document that may be of the copy waits for a minute again

Callers saw, in plays with real processes: a node that restarts between the return of the store and the moment in which the operators write again has no remembered rows, took the copy's document for one that may have been written since, and put it in force at all nodes after 4 s: 404 for the route that the copy lacks, until it was written again (46 to 49 of some 150 requests at each node; restarted-in-a-long-gap, and restarted-while-the-store-is-away in most plays).

That a row was not read before shows that it was written since only to a process that has read all rows until then, which none can know of itself. It bought a lower number some seconds, and cost operators who only raise theirs what was in force.

What the first read of an epoch finds waits for a minute; what is written after it for 1.5 s.

--- a/configuration.go
+++ b/configuration.go
@@ -158,10 +158,10 @@
 	// NumberingEpoch is the epoch of the table service in which the operators went on with a lower number than one that the copy
 	// lacked, or zero if they never did. Documents of a later one are newer, whatever their numbers are.
 	NumberingEpoch uint64
-	// ReadEpoch is the latest epoch in which a node read the document from the table service.
-	ReadEpoch uint64
-	// Writing is what this node knows of when the document was written.
-	Writing    Writing
+	// ReadEpoch is the latest epoch in which a node read the document from the table service. Written is set if this node
+	// knows that it was written in that epoch, and not before the copy.
+	ReadEpoch  uint64
+	Written    bool
 	Document   Document
 	Provenance Provenance
 }
@@ -213,20 +213,6 @@
 	return inputs
 }
 
-//go:generate stringer -type=Writing -output=writing_string.go
-
-// Writing is when a document was written, as far as a node knows. The first read of an epoch finds what was written in it and
-// what is of the copy.
-type Writing int
-
-// Times of a document's writing.
-const (
-	WritingUnknown Writing = iota
-	// WrittenInEpoch is after the table service came back from the copy, WrittenBefore before that: the node had read the same row.
-	WrittenInEpoch
-	WrittenBefore
-)
-
 //go:generate stringer -type=Origin -output=origin_string.go
 
 // Origin is where a node got a configuration from.
--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -13,9 +13,8 @@
 const (
 	// writtenDelay is that of a document that they have written since. It leaves time to spread the document.
 	writtenDelay = 1500 * time.Millisecond
-	// unknownDelay is that of a document that may be of the copy, and copyDelay that of one that is.
-	unknownDelay = 4 * time.Second
-	copyDelay    = time.Minute
+	// foundDelay is that of a document that may be of the copy.
+	foundDelay = time.Minute
 )
 
 // Decision is what to do with the document that the table service holds.
@@ -35,22 +34,13 @@
 	switch {
 	case stored.ReadEpoch < inForce.NumberingEpoch:
 		return Decision{}
-	case higher && (stored.Writing == eelgrasspoint.WrittenInEpoch || !ofLaterEpoch || inForce.NumberingEpoch == 0):
+	case higher && (stored.Written || !ofLaterEpoch || inForce.NumberingEpoch == 0):
 		return Decision{Follows: true, NumberingEpoch: inForce.NumberingEpoch}
 	case !ofLaterEpoch || stored.Version == 0:
 		return Decision{}
+	case stored.Written:
+		return Decision{Follows: true, Delay: writtenDelay, NumberingEpoch: stored.ReadEpoch}
 	default:
-		return Decision{Follows: true, Delay: delay(stored.Writing), NumberingEpoch: stored.ReadEpoch}
-	}
-}
-
-func delay(writing eelgrasspoint.Writing) time.Duration {
-	switch writing {
-	case eelgrasspoint.WrittenInEpoch:
-		return writtenDelay
-	case eelgrasspoint.WrittenBefore:
-		return copyDelay
-	default:
-		return unknownDelay
+		return Decision{Follows: true, Delay: foundDelay, NumberingEpoch: stored.ReadEpoch}
 	}
 }
--- a/coordination/sequencer/sequencer_test.go
+++ b/coordination/sequencer/sequencer_test.go
@@ -16,12 +16,7 @@
 	}
 	written := func(number, readEpoch uint64) *eelgrasspoint.Configuration {
 		c := document(number, readEpoch, 0)
-		c.Writing = eelgrasspoint.WrittenInEpoch
-		return c
-	}
-	ofCopy := func(number, readEpoch uint64) *eelgrasspoint.Configuration {
-		c := document(number, readEpoch, 0)
-		c.Writing = eelgrasspoint.WrittenBefore
+		c.Written = true
 		return c
 	}
 	cases := map[string]struct {
@@ -39,15 +34,12 @@
 			document(7, 1, 0), written(5, 2), sequencer.Decision{Follows: true, Delay: 1500 * time.Millisecond, NumberingEpoch: 2},
 		},
 		"lower number that may be of the copy": {
-			document(7, 1, 0), document(5, 2, 0), sequencer.Decision{Follows: true, Delay: 4 * time.Second, NumberingEpoch: 2},
-		},
-		"lower number of the copy": {
-			document(7, 1, 0), ofCopy(5, 2), sequencer.Decision{Follows: true, Delay: time.Minute, NumberingEpoch: 2},
+			document(7, 1, 0), document(5, 2, 0), sequencer.Decision{Follows: true, Delay: time.Minute, NumberingEpoch: 2},
 		},
 		"higher number after numbers began anew":  {document(5, 2, 2), written(6, 2), sequencer.Decision{Follows: true, NumberingEpoch: 2}},
 		"found by a process that has just begun":  {document(5, 2, 2), document(6, 2, 0), sequencer.Decision{Follows: true, NumberingEpoch: 2}},
 		"written after another restore":           {document(5, 2, 2), written(6, 3), sequencer.Decision{Follows: true, NumberingEpoch: 2}},
-		"copy of before the numbers began anew":   {document(5, 2, 2), ofCopy(7, 3), sequencer.Decision{Follows: true, Delay: time.Minute, NumberingEpoch: 3}},
+		"copy of before the numbers began anew":   {document(5, 2, 2), document(7, 3, 0), sequencer.Decision{Follows: true, Delay: time.Minute, NumberingEpoch: 3}},
 		"lower again after another restore":       {document(5, 2, 2), written(4, 3), sequencer.Decision{Follows: true, Delay: 1500 * time.Millisecond, NumberingEpoch: 3}},
 		"higher number of before the restore":     {document(5, 2, 2), written(7, 1), sequencer.Decision{}},
 		"nothing read after another one in force": {document(5, 2, 2), document(0, 0, 0), sequencer.Decision{}},
--- a/protocol/translator/revision_test.go
+++ b/protocol/translator/revision_test.go
@@ -49,7 +49,7 @@
 // during a rolling update, since it takes a newer one from another node for one of before a restore.
 func TestDocumentOfAnEarlierVersionOfTheProgramIsNotOld(t *testing.T) {
 	received := translator.Configuration(&schema.GetResponse{Revision: 2<<40 | 5, Version: 12})
-	stored := eelgrasspoint.Configuration{Version: 9, ReadEpoch: 2, Writing: eelgrasspoint.WrittenInEpoch}
+	stored := eelgrasspoint.Configuration{Version: 9, ReadEpoch: 2, Written: true}
 	assert.Equal(t, sequencer.Decide(&received, &stored), sequencer.Decision{})
 	epochZero := translator.Configuration(translator.ConfigurationMessage(&eelgrasspoint.Configuration{
 		Revision: eelgrasspoint.Revision{Epoch: 1, Version: 5}, Version: 12,
