Test: the attempt that crosses a GOAWAY frame waits for that frame

A run of the packages' tests at a load of 32 printed 'http2: panic serving: close of closed channel', from the handler of TestAttemptIgnoredByStoppingExitNodeDidNotRun: the second attempt ran there. The test gave the server 25 ms to send the frame; at that load it may take longer, and then the attempt arrives before the server stops.

The test now sends the attempt once the frame is under way. What it checks is unchanged.

--- a/transport/dispatcher/dispatcher_test.go
+++ b/transport/dispatcher/dispatcher_test.go
@@ -98,7 +98,8 @@
 				<-finish
 				w.Header().Set(eelgrasspoint.HeaderOutcome, eelgrasspoint.Answered.String())
 			})
-			d := dispatcher.New(dialWithDelayedReads, "region", time.Now)
+			stopping := make(chan struct{}, 1)
+			d := dispatcher.New(dialerWithDelayedReads(stopping), "region", time.Now)
 			defer d.Close()
 			first := make(chan error)
 			go func() {
@@ -110,7 +111,7 @@
 			}()
 			<-running
 			go func() { _ = server.Shutdown(t.Context()) }()
-			time.Sleep(readDelay / 4)
+			<-stopping
 			_, err := sendAttempt(t.Context(), candidate, d, bodyBytes)
 			outcome := eelgrasspoint.AsOutcome(err)
 			assert.Equal(t, outcome.Outcome, eelgrasspoint.NotRun, "%v", err)
@@ -122,26 +123,57 @@
 	}
 }
 
-// readDelay is how long the bytes on the connections of dialWithDelayedReads are under way to the dispatcher.
+// readDelay is how long the bytes on the connections of dialerWithDelayedReads are under way to the dispatcher.
 const readDelay = 100 * time.Millisecond
 
-func dialWithDelayedReads(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// dialerWithDelayedReads returns a dialer whose connections send to stopping when a GOAWAY frame is under way.
+func dialerWithDelayedReads(stopping chan<- struct{}) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &delayedConn{Conn: conn, stopping: stopping}, nil
 	}
-	return &delayedConn{Conn: conn}, nil
 }
 
 // delayedConn holds every read back for readDelay.
-type delayedConn struct{ net.Conn }
+type delayedConn struct {
+	net.Conn
+	stopping chan<- struct{}
+}
 
 func (c *delayedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if hasGoAway(p[:n]) {
+		select {
+		case c.stopping <- struct{}{}:
+		default:
+		}
+	}
 	time.Sleep(readDelay)
 	return n, err
 }
 
+// Parts of a frame of HTTP/2 (RFC 9113, section 4.1).
+const (
+	frameHeaderBytes = 9
+	frameTypeOffset  = 3
+	goAwayFrame      = 7
+)
+
+// hasGoAway reports whether there is a GOAWAY frame among whole frames.
+func hasGoAway(frames []byte) bool {
+	for len(frames) >= frameHeaderBytes {
+		if frames[frameTypeOffset] == goAwayFrame {
+			return true
+		}
+		payload := int(frames[0])<<16 | int(frames[1])<<8 | int(frames[2])
+		frames = frames[min(len(frames), frameHeaderBytes+payload):]
+	}
+	return false
+}
+
 // TestAnswerHeadOfManyShortLinesArrives guards against an answer that the exit node may relay, since its head
 // is within MaxAnswerHeaderBytes, and the entry node rejects because HTTP/2 counts more bytes.
 func TestAnswerHeadOfManyShortLinesArrives(t *testing.T) {
