A node that has read nothing yet reads the store once a second

Callers would see: the store refuses calls beyond its rate.

Cause: such a node reads at once, and its calls waited for nothing, since only selected and lonely nodes were let wait.

Evidence: TestUnselectedNodesDoNotFloodTheStoreBeforeTheFirstConfiguration and TestUnselectedNodeDoesNotFloodTheStore fail without the change and pass now.

--- a/runner/source.go
+++ b/runner/source.go
@@ -43,7 +43,8 @@
 
 // Times of a node that follows the changes of the operators.
 const (
-	// aloneChangesWait is the longest wait for changes of a node that waits only as long as it doesn't hear of others.
+	// aloneChangesWait is the longest wait for changes of a node that waits only as long as it doesn't hear of others, or has not
+	// read what they have.
 	aloneChangesWait = time.Second
 	// selectionInterval is the mean pause between two checks of whether the node has to read changes itself.
 	selectionInterval = 100 * time.Millisecond
@@ -60,7 +61,7 @@
 	switch {
 	case r.selector.Selects(view):
 		return turn
-	case r.selector.Alone(view):
+	case r.selector.Alone(view) || r.lacksEpoch(view):
 		return min(turn, aloneChangesWait)
 	default:
 		return 0
@@ -98,14 +99,18 @@
 // selected nodes first.
 func (r *Runner) readsChanges(ctx context.Context) bool {
 	view := r.controller.View()
-	read := r.epoch.Load()
-	restored := read == nil || view.Revision.Epoch > *read
-	if restored || r.selector.Selects(view) {
+	if r.lacksEpoch(view) || r.selector.Selects(view) {
 		return true
 	}
 	return r.selector.Alone(view) && !r.askSelected(ctx, view)
 }
 
+// lacksEpoch reports whether the node has read no configuration yet, or none of the epoch that is in force.
+func (r *Runner) lacksEpoch(view *eelgrasspoint.MembershipView) bool {
+	read := r.epoch.Load()
+	return read == nil || view.Revision.Epoch > *read
+}
+
 // tellsOfChanges returns the members that this node is to tell of changes, where nodes wait for them.
 func (r *Runner) tellsOfChanges(view *eelgrasspoint.MembershipView) []eelgrasspoint.Member {
 	if r.options.Source == nil {
