Nodes tell each other that the numbers began anew

Callers would see: after a roll of all nodes but one that was cut off from the store and the others, that one brings the lost, higher number back for up to a minute. The epoch in which the numbers began anew was compared, but not in the hash by which nodes notice that they differ, so that restarted nodes with the same number never learned it.

Evidence: TestNumberingEpochIsNews and TestDrills/numbering-kept-in-a-roll are red without the change. As long as numbers only rise, the hash is the same as that of earlier versions.

--- a/reconciliation.go
+++ b/reconciliation.go
@@ -74,6 +74,9 @@
 	}
 	hash := xxhash.New()
 	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, c.Version))
+	if c.NumberingEpoch != 0 {
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, c.NumberingEpoch))
+	}
 	for _, zone := range c.Document.AvailabilityZones {
 		if zone.ChangedAt.IsZero() {
 			continue
--- a/reconciliation_test.go
+++ b/reconciliation_test.go
@@ -97,3 +97,13 @@
 		})
 	}
 }
+
+// TestNumberingEpochIsNews guards against a node that never learns that the numbers began anew, since its document has the
+// number and the revision of the others.
+func TestNumberingEpochIsNews(t *testing.T) {
+	revision := eelgrasspoint.Revision{Epoch: 2, Version: 102}
+	known := eelgrasspoint.Configuration{Revision: revision, Version: 5}
+	other := eelgrasspoint.Configuration{Revision: revision, Version: 5, NumberingEpoch: 2}
+	assert.Equal(t, known.Reconcile(&other).NumberingEpoch, uint64(2))
+	assert.Assert(t, known.HasNews(other.Revision, other.StateDigest()))
+}
