A higher number that the first read of an epoch finds is in force at once

Callers would see: once operators had gone on with a lower number, or written again one by one what the copy lacked, a new configuration written right after a later restore is in force only after a minute. A higher number that may be of the copy waited like a lower one, lest a copy of before the numbers began anew bring an old document back. Such a copy would have to be older than the one before it; a late change after each later restore weighs more.

Evidence: TestDrills/second-drill-new-number-in-the-gap and written-again-one-by-one are red without the change.

--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -34,7 +34,7 @@
 	switch {
 	case stored.ReadEpoch < inForce.NumberingEpoch:
 		return Decision{}
-	case higher && (stored.Written || !ofLaterEpoch || inForce.NumberingEpoch == 0):
+	case higher:
 		return Decision{Follows: true, NumberingEpoch: inForce.NumberingEpoch}
 	case !ofLaterEpoch || stored.Version == 0:
 		return Decision{}
