The end of an evacuation is in force at nodes that did not read it

Callers would see: a zone stays out of service for good, at all nodes, though the operators took it back: a node heard of the evacuation from others, those are gone, and its first own read comes after the row was deleted. It read no row and no deletion, which said nothing against what it had heard. So it was on, also without a restore.

Change: a read also says up to which revision all changes are known, and which zones have a row then. An evacuation of the same epoch before that revision, without a row, has ended. Within the time after a restore in which rows are expected again nothing changes: those evacuations are of an earlier epoch.

--- a/configuration.go
+++ b/configuration.go
@@ -158,6 +158,10 @@
 	// NumberingEpoch is the epoch of the table service in which the operators went on with a lower number than one that the copy
 	// lacked, or zero if they never did. Documents of a later one are newer, whatever their numbers are.
 	NumberingEpoch uint64
+	// ReadUpTo is the revision up to which this node has read all changes, if it has the configuration from the table service, and
+	// Evacuated are the availability zones for which the table service then had a row that takes them out of service.
+	ReadUpTo  Revision
+	Evacuated []string
 	// ReadEpoch is the latest epoch in which a node read the document from the table service. Written is set if this node
 	// knows that it was written in that epoch, and not before the copy.
 	ReadEpoch  uint64
--- a/coordination/controller/configurations.go
+++ b/coordination/controller/configurations.go
@@ -20,6 +20,7 @@
 	}
 	r.reconcile(c)
 	c.reviewStored()
+	c.endEvacuations()
 }
 
 func (r ReplaceConfiguration) reconcile(c *Controller) {
--- a/coordination/controller/stored.go
+++ b/coordination/controller/stored.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"eelgrasspoint"
@@ -70,6 +71,41 @@
 	}
 }
 
+// endEvacuations puts zones in service whose evacuation this node knows from other nodes only, if it has read all changes up to
+// a later revision of the same epoch without it: its end was among changes that this node did not read one by one.
+func (c *Controller) endEvacuations() {
+	stored := c.stored.configuration
+	if stored == nil {
+		return
+	}
+	ended := endedEvacuations(c.configuration, stored)
+	if len(ended) == 0 {
+		return
+	}
+	read := *stored
+	read.Document.AvailabilityZones = ended
+	read.Revision = read.Revision.Later(read.ReadUpTo)
+	c.setConfiguration(*c.configuration.Reconcile(&read), stored.Provenance)
+}
+
+// endedEvacuations returns the zones that are out of service in the configuration in force, by a change of which the table service had
+// no row any more when stored was read.
+func endedEvacuations(inForce, stored *eelgrasspoint.Configuration) []eelgrasspoint.AvailabilityZone {
+	var ended []eelgrasspoint.AvailabilityZone
+	for _, zone := range stored.Document.AvailabilityZones {
+		known := slices.IndexFunc(inForce.Document.AvailabilityZones, func(z eelgrasspoint.AvailabilityZone) bool { return z.Name == zone.Name })
+		if known < 0 || !inForce.Document.AvailabilityZones[known].OutOfService || slices.Contains(stored.Evacuated, zone.Name) {
+			continue
+		}
+		changedAt := inForce.Document.AvailabilityZones[known].ChangedAt
+		if changedAt.Epoch == stored.ReadUpTo.Epoch && !changedAt.After(stored.ReadUpTo) && !changedAt.IsZero() {
+			zone.OutOfService, zone.ChangedAt = false, stored.ReadUpTo
+			ended = append(ended, zone)
+		}
+	}
+	return ended
+}
+
 func (c *Controller) beginWait(delay time.Duration) {
 	c.stored.wait++
 	c.stored.delay = delay
