Comments read as a newcomer would; useStored in place of putStored

The name sounded like a write to the table service. One private method is renamed, comments are reworded; no logic is changed.

--- a/coordination/controller/stored.go
+++ b/coordination/controller/stored.go
@@ -27,12 +27,12 @@
 	c.stored.timer = nil
 	decision := sequencer.Decide(c.configuration, c.stored.configuration)
 	if decision.Follows {
-		c.putStored(decision.NumberingEpoch)
+		c.useStored(decision.NumberingEpoch)
 	}
 }
 
-// putStored puts the stored document in force with an epoch of its number.
-func (c *Controller) putStored(numberingEpoch uint64) {
+// useStored puts the stored document in force, with the epoch in which its numbers began.
+func (c *Controller) useStored(numberingEpoch uint64) {
 	stored := *c.stored.configuration
 	stored.NumberingEpoch = numberingEpoch
 	reconciled := c.configuration.Reconcile(&stored)
@@ -63,7 +63,7 @@
 	case !decision.Follows || decision.Delay == 0 || stored.Version == c.configuration.Version:
 		c.endWait()
 		if decision.Follows {
-			c.putStored(decision.NumberingEpoch)
+			c.useStored(decision.NumberingEpoch)
 		}
 	case c.stored.timer == nil || decision.Delay < c.stored.delay:
 		c.endWait()
--- a/reconciliation.go
+++ b/reconciliation.go
@@ -9,10 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Reconcile returns what two configurations say together, in any order of the two: the document that the operators gave the
-// higher number, and of each availability zone the latest change. Nodes that know different epochs of the table service
-// agree in this way: neither has to know all of what the other does. A higher number is one of a later NumberingEpoch, too. If the number of one of them is unknown, the
-// configuration with the higher revision is returned; of two with the same revision, that with a number, or else c.
+// Reconcile returns what two configurations say together, in any order of the two: of the documents, the newer one by
+// CompareNumbers, and of each availability zone the latest change. Nodes that know different epochs of the table service agree in
+// this way: neither has to know all of what the other does. If the number of one of them is unknown, the configuration with
+// the higher revision is returned; of two with the same revision, that with a number, or else c.
 func (c *Configuration) Reconcile(other *Configuration) *Configuration {
 	if c.Version == 0 || other.Version == 0 {
 		if cmp.Or(other.Revision.Compare(c.Revision), cmp.Compare(other.Version, c.Version)) > 0 {
--- a/transport/timer/timer.go
+++ b/transport/timer/timer.go
@@ -19,7 +19,7 @@
 // New returns a timer without a call.
 func New() *Timer { return &Timer{} }
 
-// Context returns a context for the calls that are to be measured.
+// Context returns a context for the calls that are to be timed.
 func (t *Timer) Context(ctx context.Context) context.Context {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: t.noteFirstByte})
 	return context.WithValue(ctx, contextKey{}, t)
